--- /dev/null
+++ b/Makefile
@@ -0,0 +1,49 @@
+LINT_VERSION := v2.15.0
+GO           ?= go
+BIN          := $(CURDIR)/bin
+LINT         := $(BIN)/golangci-lint-$(LINT_VERSION)
+SEED         ?= 1
+
+.DEFAULT_GOAL := build
+
+.PHONY: build
+build: ## Builds knapd and knapctl into bin/.
+	@mkdir -p $(BIN)
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+.PHONY: test
+test: lint vet ## Formatter, linter, vet, then every test under the race detector.
+	$(GO) build ./...
+	$(GO) build -o $(BIN)/verdict ./internal/tool/verdict
+	$(GO) test -json -race -count=1 -timeout 20m ./... -rapid.seed=$(SEED) | $(BIN)/verdict
+
+.PHONY: lint
+lint: $(LINT) ## Fails on unformatted code and on lint findings.
+	$(LINT) fmt --diff
+	$(LINT) run ./...
+
+.PHONY: fmt
+fmt: $(LINT) ## Formats the tree.
+	$(LINT) fmt
+
+.PHONY: vet
+vet:
+	$(GO) vet ./...
+
+.PHONY: demo
+demo: build ## Runs a small deployment on loopback and one request of each kind.
+	$(GO) test -count=1 -timeout 120s -run '^TestDemo$$' ./internal/e2e -args -bin $(BIN) -verbose
+
+.PHONY: gen
+gen: ## Generates protobuf code with the pinned generator.
+	cd tools/gen && GOBIN=$(BIN) $(GO) install tool
+	cd internal/wire && PATH=$(BIN):$$PATH $(BIN)/buf generate
+
+.PHONY: help
+help:
+	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/'
+
+$(LINT):
+	@mkdir -p $(BIN)
+	GOBIN=$(BIN) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+	mv $(BIN)/golangci-lint $(LINT)
--- /dev/null
+++ b/pkg/model/shape.go
@@ -0,0 +1,42 @@
+package model
+
+import "fmt"
+
+// Near says how close together the accelerators of a shape must be.
+type Near string
+
+// The levels of adjacency, from the closest to the loosest.
+const (
+	NearWorker Near = "worker" // all members on one worker
+	NearRack   Near = "rack"   // all members in one rack
+	NearDomain Near = "domain" // all members in one failure domain
+	NearAny    Near = "any"    // anywhere in one region
+)
+
+// MaxMembers is the largest gang, in members.
+const MaxMembers = 512
+
+// Shape is what a gang needs: Members equal parts, each with its own cores,
+// memory and accelerators on one worker.
+type Shape struct {
+	Members int    `json:"members"`        // 1 to MaxMembers
+	Cores   int    `json:"cores"`          // cores per member
+	Memory  int64  `json:"memory"`         // bytes per member
+	Accels  int    `json:"accels"`         // accelerators per member
+	Near    Near   `json:"near"`           // how close the members must be
+	Kind    string `json:"kind,omitempty"` // kind of accelerator; empty means any
+}
+
+// TotalAccels returns the accelerators that the whole shape needs.
+func (s Shape) TotalAccels() int { return s.Members * s.Accels }
+
+// String returns the shape in the short form that operators read.
+func (s Shape) String() string {
+	return fmt.Sprintf("%dx(%dc,%dMiB,%da)@%s", s.Members, s.Cores, s.Memory>>20, s.Accels, s.Near)
+}
+
+// Guarantee is a shape that a team may claim at any instant, Count times over.
+type Guarantee struct {
+	Shape Shape `json:"shape"`
+	Count int   `json:"count"`
+}
