--- /dev/null
+++ b/internal/agent/work.go
@@ -0,0 +1,235 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/knapweedlug/knapweedlug/internal/wire"
+	"github.com/knapweedlug/knapweedlug/pkg/client"
+)
+
+const (
+	chunkSize       = 32 << 10
+	maxKeptAnswer   = 64 << 10
+	settleTimeout   = 3 * time.Second
+	workReadTimeout = 5 * time.Second
+)
+
+// Codes of an answer that is not a whole one.
+const (
+	codeStale    = "stale-config"
+	codeDraining = "draining"
+	codeCredit   = "credit"
+	codeExpired  = "deadline"
+	codeCut      = "cut"
+	codeNoServer = "no-server"
+	codeDial     = "dial"
+	codeServer   = "server"
+	codeTooLarge = "answer-too-large"
+)
+
+// handleWork serves one request that an entry sent against a credit.
+func (a *Agent) handleWork(ctx context.Context, _ *wire.Call, st *wire.Stream) error {
+	_ = st.SetReadDeadline(time.Now().Add(workReadTimeout))
+	var work wire.Work
+	if err := st.Recv(&work); err != nil {
+		return errors.Wrap(err, "read work")
+	}
+	body, err := readChunks(st)
+	if err != nil {
+		return errors.Wrap(err, "read body")
+	}
+	deadline := a.env.Clock.Now().Add(time.Duration(work.Remainms) * time.Millisecond)
+	if code := a.take(st.Peer().Name, &work); code != "" {
+		return st.Send(notRun(code))
+	}
+	run := &run{agent: a, work: &work, body: body, stream: st, began: a.env.Clock.Now()}
+	defer run.finish()
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	_ = st.SetDeadline(deadline.Add(settleTimeout))
+	return run.serve(ctx, cancel)
+}
+
+// take is the last check before work starts. It uses up the credit, so that a
+// late copy of the same request can't start.
+func (a *Agent) take(entry string, work *wire.Work) (code string) {
+	now := a.env.Clock.Now()
+	switch {
+	case !a.conf.Fresh(now):
+		return codeStale
+	case work.Remainms == 0:
+		return codeExpired
+	}
+	switch a.server.state(now) {
+	case serverReady:
+	case serverDraining:
+		return codeDraining
+	default:
+		return codeNoServer
+	}
+	if a.server.current().Service != work.Service {
+		return codeNoServer
+	}
+	if !a.grants.take(entry, work.Credit, work.Short) {
+		return codeCredit
+	}
+	a.server.began()
+	return ""
+}
+
+func notRun(code string) *wire.Answer {
+	return &wire.Answer{Outcome: string(client.OutcomeNotRun), Code: code}
+}
+
+func unknown(code string) *wire.Answer {
+	return &wire.Answer{Outcome: string(client.OutcomeUnknown), Code: code}
+}
+
+// readChunks reads a whole body, so that one cut short never starts.
+func readChunks(st *wire.Stream) ([]byte, error) {
+	var body []byte
+	for {
+		var c wire.Chunk
+		if err := st.Recv(&c); err != nil {
+			return nil, err
+		}
+		if c.Error != "" {
+			return nil, errors.Newf("body cut: %s", c.Error)
+		}
+		if len(body)+len(c.Data) > wire.MaxFrame {
+			return nil, errors.Wrap(wire.ErrFrame, "body too large")
+		}
+		body = append(body, c.Data...)
+		if c.Last {
+			return body, nil
+		}
+	}
+}
+
+// run is one request on the backend server.
+type run struct {
+	agent  *Agent
+	work   *wire.Work
+	body   []byte
+	stream *wire.Stream
+	began  time.Time
+	kept   []byte // start of the answer of a claimed request
+}
+
+func (r *run) finish() {
+	r.agent.server.ended()
+	r.agent.grants.free(r.work.Credit)
+}
+
+// serve runs the request and passes its answer on. The entry that goes away
+// cancels it, unless the answer is owed to a claim.
+func (r *run) serve(ctx context.Context, cancel context.CancelFunc) error {
+	if r.work.Key == "" {
+		stop := r.watchEntry(ctx, cancel)
+		defer stop()
+	}
+	resp, sent, err := r.roundTrip(ctx)
+	if err != nil {
+		return r.fail(err, sent)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if r.work.Key != "" {
+		return r.answerClaimed(resp)
+	}
+	if err := r.stream.Send(r.head(resp)); err != nil {
+		return err
+	}
+	return r.copyBody(resp.Body)
+}
+
+// watchEntry cancels the run when the entry closes its end of the stream.
+func (r *run) watchEntry(ctx context.Context, cancel context.CancelFunc) (stop func()) {
+	_ = r.stream.SetReadDeadline(time.Time{})
+	r.agent.group.Go(func() error {
+		var c wire.Chunk
+		if err := r.stream.Recv(&c); err != nil {
+			cancel()
+		}
+		return nil
+	})
+	return context.AfterFunc(ctx, func() { _ = r.stream.SetReadDeadline(time.Unix(1, 0)) })
+}
+
+// onceBody hides the body from the transport's own retries, which would run
+// a request twice.
+type onceBody struct{ io.Reader }
+
+func (onceBody) Close() error { return nil }
+
+// roundTrip sends the request to the backend server. sent reports whether any
+// of it may have arrived there.
+func (r *run) roundTrip(ctx context.Context) (resp *http.Response, sent bool, err error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	url := "http://" + r.agent.server.current().Addr + r.work.Path
+	req, err := http.NewRequestWithContext(ctx, r.work.Verb, url, onceBody{strings.NewReader(string(r.body))})
+	if err != nil {
+		return nil, false, err
+	}
+	req.ContentLength = int64(len(r.body))
+	for _, h := range r.work.Headers {
+		req.Header.Add(h.Name, h.Value)
+	}
+	resp, err = r.agent.transport.RoundTrip(req)
+	return resp, connected.Load(), err
+}
+
+func (r *run) fail(err error, sent bool) error {
+	r.agent.env.Log.Warn("backend server failed a request", zap.String("request", r.work.Id),
+		zap.String("team", r.work.Team), zap.Bool("sent", sent), zap.Error(err))
+	ans := notRun(codeDial)
+	if sent {
+		ans = unknown(codeServer)
+		r.settle(ans, nil)
+	}
+	return r.stream.Send(ans)
+}
+
+func (r *run) head(resp *http.Response) *wire.Answer {
+	ans := &wire.Answer{
+		Outcome: string(client.OutcomeAnswer),
+		Status:  uint32(resp.StatusCode),
+		Tookms:  uint32(r.agent.env.Clock.Now().Sub(r.began).Milliseconds()),
+	}
+	for name, values := range resp.Header {
+		for _, v := range values {
+			ans.Headers = append(ans.Headers, &wire.Header{Name: name, Value: v})
+		}
+	}
+	return ans
+}
+
+// copyBody sends the answer's body in chunks. Only the last chunk of a whole
+// body is marked as such.
+func (r *run) copyBody(body io.Reader) error {
+	buf := make([]byte, chunkSize)
+	for {
+		n, err := body.Read(buf)
+		c := &wire.Chunk{Data: buf[:n], Last: errors.Is(err, io.EOF)}
+		if err != nil && !c.Last {
+			c.Error = err.Error()
+		}
+		if sendErr := r.stream.Send(c); sendErr != nil {
+			return sendErr
+		}
+		if err != nil {
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/poll/poll.go
@@ -0,0 +1,128 @@
+// Package poll keeps an entry or agent in step with the control processes: a
+// heartbeat that is held back at the other end until something changes, so that
+// changes arrive at once and an idle process sends one message a second.
+package poll
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/knapweedlug/knapweedlug/internal/kern"
+	"github.com/knapweedlug/knapweedlug/internal/wire"
+)
+
+const (
+	// HoldTime is how long a control process may hold an answer back.
+	HoldTime = time.Second
+	// answerTime is how long a control process may take beyond HoldTime.
+	answerTime = 700 * time.Millisecond
+	// callTime bounds one try of a call to one control process.
+	callTime = 2 * time.Second
+	// retryPause separates two tries when no control process answers.
+	retryPause = 100 * time.Millisecond
+)
+
+// Link calls a method of one control process.
+type Link interface {
+	Call(ctx context.Context, method string, req, resp proto.Message) error
+	Addr() string
+}
+
+// Node is what a Poller speaks for.
+type Node interface {
+	// Request returns the next heartbeat.
+	Request() *wire.SyncRequest
+	// Reply takes an answer. What it says holds until deadline.
+	Reply(rep *wire.SyncReply, deadline time.Time) error
+}
+
+// Poller sends heartbeats to one control process at a time and turns to the
+// next one when an answer does not come in time.
+type Poller struct {
+	links []Link
+	node  Node
+	clock kern.Clock
+	log   *zap.Logger
+	cur   atomic.Int64
+}
+
+// New returns a poller over links, of which there is at least one.
+func New(links []Link, node Node, clock kern.Clock, log *zap.Logger) *Poller {
+	p := &Poller{links: links, node: node, clock: clock, log: log}
+	p.cur.Store(rand.Int64N(int64(len(links))))
+	return p
+}
+
+// Run polls until ctx is done.
+func (p *Poller) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		cur := p.cur.Load()
+		if err := p.once(ctx, p.link(cur)); err != nil && ctx.Err() == nil {
+			p.log.Debug("control process did not answer", zap.String("addr", p.link(cur).Addr()), zap.Error(err))
+			p.cur.CompareAndSwap(cur, cur+1)
+			pause(ctx, retryPause)
+		}
+	}
+	return nil
+}
+
+func (p *Poller) link(n int64) Link { return p.links[n%int64(len(p.links))] }
+
+// once sends one heartbeat. The answer's validity counts from the moment of
+// sending, so that neither delay nor a clock's offset can lengthen it.
+func (p *Poller) once(ctx context.Context, l Link) error {
+	req := p.node.Request()
+	req.Waitms = uint32(HoldTime.Milliseconds())
+	sent := p.clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, HoldTime+answerTime)
+	defer cancel()
+	rep := &wire.SyncReply{}
+	if err := l.Call(ctx, wire.MethodSync, req, rep); err != nil {
+		return err
+	}
+	return p.node.Reply(rep, sent.Add(time.Duration(rep.Vouchms)*time.Millisecond))
+}
+
+// Call calls method on a control process. It tries each one in turn until one
+// answers or ctx is done; a refusal is an answer.
+func (p *Poller) Call(ctx context.Context, method string, req, resp proto.Message) error {
+	for {
+		cur := p.cur.Load()
+		err := p.try(ctx, p.link(cur), method, req, resp)
+		if err == nil || isRefusal(err) {
+			return err
+		}
+		if ctx.Err() != nil {
+			return errors.Wrapf(err, "call %s", method)
+		}
+		p.cur.CompareAndSwap(cur, cur+1)
+		pause(ctx, retryPause)
+	}
+}
+
+func (p *Poller) try(ctx context.Context, l Link, method string, req, resp proto.Message) error {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	return l.Call(ctx, method, req, resp)
+}
+
+// isRefusal tells a control process's own refusal from a failure to reach the
+// leader, after which another control process may do better.
+func isRefusal(err error) bool {
+	return errors.Is(err, wire.ErrRemote) && !errors.Is(err, wire.ErrNotLeader)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/wire/frame.go
@@ -0,0 +1,82 @@
+package wire
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	// MaxFrame is the largest message in bytes that a process reads.
+	MaxFrame = 8 << 20
+	// MaxHandshake is the largest message in bytes before a peer has proved
+	// who it is.
+	MaxHandshake = 4 << 10
+
+	lengthSize = 4
+)
+
+// ErrFrame is returned for a frame that is too large or does not decode.
+var ErrFrame = errors.New("malformed frame")
+
+// WriteMessage writes one framed message with a single Write.
+func WriteMessage(w io.Writer, m proto.Message) error {
+	buf := make([]byte, lengthSize, lengthSize+proto.Size(m))
+	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, m)
+	if err != nil {
+		return errors.Wrap(err, "encode frame")
+	}
+	if len(buf)-lengthSize > MaxFrame {
+		return errors.Wrapf(ErrFrame, "message of %d bytes, at most %d", len(buf)-lengthSize, MaxFrame)
+	}
+	binary.BigEndian.PutUint32(buf, uint32(len(buf)-lengthSize))
+	_, err = w.Write(buf)
+	return err
+}
+
+// ReadMessage reads one framed message of at most limit bytes into m.
+func ReadMessage(r io.Reader, m proto.Message, limit int) error {
+	var head [lengthSize]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return err
+	}
+	n := int(binary.BigEndian.Uint32(head[:]))
+	if n > limit {
+		return errors.Wrapf(ErrFrame, "message of %d bytes, at most %d", n, limit)
+	}
+	buf, err := readBody(r, n)
+	if err != nil {
+		return err
+	}
+	if err := proto.Unmarshal(buf, m); err != nil {
+		return errors.Wrapf(ErrFrame, "decode %s: %v", m.ProtoReflect().Descriptor().Name(), err)
+	}
+	return nil
+}
+
+// readBody reads n bytes without trusting n for the first allocation, so that
+// a peer that announces much and sends little costs little.
+func readBody(r io.Reader, n int) ([]byte, error) {
+	const trusted = 64 << 10
+	if n <= trusted {
+		buf := make([]byte, n)
+		_, err := io.ReadFull(r, buf)
+		return buf, noEOF(err)
+	}
+	br := bufio.NewReaderSize(io.LimitReader(r, int64(n)), trusted)
+	buf, err := io.ReadAll(br)
+	if err == nil && len(buf) < n {
+		err = io.ErrUnexpectedEOF
+	}
+	return buf, err
+}
+
+func noEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
