route, admit: first API of the request path's decisions

Late binding against credits: admit.Queue at the entry, route.Split beside the backend server, route.Picker choosing among credits held. Not measured yet.

--- /dev/null
+++ b/internal/admit/learn.go
@@ -0,0 +1,101 @@
+package admit
+
+import (
+	"math/bits"
+	"time"
+)
+
+// Learning constants of a sizeStat.
+const (
+	sizeGain    = 0.05 // weight of a new sample
+	minSamples  = 8    // samples after which what is learned replaces what is declared
+	longShare   = 0.5  // a kind of request is long if more than this share of it is
+	spreadLimit = 1.0  // deviations added to the mean for the planned run time
+)
+
+// sizeKey identifies requests that are expected to have like sizes.
+type sizeKey struct {
+	service, team string
+	declared      Class
+	bucket        int // binary logarithm of the declared size; 0 means none
+}
+
+// sizeStat is the learned run time of one kind of request, in seconds at the
+// mean speed of the fleet.
+type sizeStat struct {
+	n     int
+	mean  float64
+	dev   float64 // mean absolute deviation
+	pLong float64 // share that ran longer than the short limit
+}
+
+func (s *sizeStat) add(seconds float64, long bool) {
+	gain := max(sizeGain, 1/float64(s.n+1))
+	s.n++
+	diff := seconds - s.mean
+	s.mean += gain * diff
+	s.dev += gain * (abs(diff) - s.dev)
+	sample := 0.0
+	if long {
+		sample = 1
+	}
+	s.pLong += gain * (sample - s.pLong)
+}
+
+func (s *sizeStat) planned() float64 { return s.mean + spreadLimit*s.dev }
+
+func abs(x float64) float64 {
+	if x < 0 {
+		return -x
+	}
+	return x
+}
+
+// sizes learns run times from finished requests.
+type sizes struct {
+	stats map[sizeKey]*sizeStat
+}
+
+func keyOf(r Request) sizeKey {
+	return sizeKey{service: r.Service, team: r.Team, declared: r.Declared, bucket: bits.Len64(uint64(r.SizeMs))}
+}
+
+// judge returns the class of a request, its expected run time and the run time
+// to plan with, both in seconds.
+func (s *sizes) judge(r Request, shortLimit time.Duration) (c Class, mean, planned float64) {
+	st := s.stats[keyOf(r)]
+	if st == nil || st.n < minSamples {
+		return declared(r, shortLimit)
+	}
+	if st.pLong > longShare {
+		return Long, st.mean, st.planned()
+	}
+	return Short, st.mean, st.planned()
+}
+
+func declared(r Request, shortLimit time.Duration) (c Class, mean, planned float64) {
+	size := time.Duration(r.SizeMs) * time.Millisecond
+	switch {
+	case r.Declared == Long || size > shortLimit:
+		c = Long
+	default:
+		c = Short
+	}
+	if size == 0 {
+		size = shortLimit / 2
+	}
+	if r.Declared == Long {
+		size = max(size, 2*shortLimit)
+	}
+	return c, size.Seconds(), size.Seconds()
+}
+
+func (s *sizes) learn(r Request, took, shortLimit time.Duration) {
+	key := keyOf(r)
+	st := s.stats[key]
+	if st == nil {
+		st = &sizeStat{}
+		s.stats[key] = st
+	}
+	st.add(took.Seconds(), took > shortLimit)
+}
--- /dev/null
+++ b/internal/admit/options.go
@@ -0,0 +1,24 @@
+package admit
+
+import "time"
+
+// Options are the settings of a Queue.
+type Options struct {
+	MaxQueued int           // requests that one team may have queued for one service
+	Margin    time.Duration // time kept free before a deadline for sending and the answer
+	LongWait  time.Duration // a long request that has waited this long goes before short ones
+}
+
+// Defaults returns the options with each unset value replaced by its default.
+func (o Options) Defaults() Options {
+	if o.MaxQueued == 0 {
+		o.MaxQueued = 20_000
+	}
+	if o.Margin == 0 {
+		o.Margin = 5 * time.Millisecond
+	}
+	if o.LongWait == 0 {
+		o.LongWait = 10 * time.Second
+	}
+	return o
+}
--- /dev/null
+++ b/internal/route/example_test.go
@@ -0,0 +1,41 @@
+package route_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/knapweedlug/knapweedlug/internal/admit"
+	"github.com/knapweedlug/knapweedlug/internal/route"
+)
+
+// Idle grants move to the entry that has requests queued.
+func ExampleSplit() {
+	now := time.Unix(0, 0)
+	s := route.NewSplit(route.SplitOptions{Slots: 2, Reserve: 1})
+	s.Join("entry-1", now)
+	s.Join("entry-2", now)
+	for _, step := range s.Demand("entry-2", admit.Demand{Borrowed: admit.Count{Short: 2}}, now) {
+		fmt.Println(step.Kind, step.Grant.Entry, step.Grant.Class)
+	}
+	// Output:
+	// revoke entry-1 any
+	// grant entry-2 any
+	// revoke entry-1 short
+	// grant entry-2 short
+}
+
+// The fastest backend server goes first, once its speed is known.
+func ExamplePicker() {
+	now := time.Unix(0, 0)
+	p := route.NewPicker()
+	for i, server := range []string{"minion-1", "minion-2"} {
+		p.Add(server)
+		p.Grant(route.Credit{Server: server, ID: uint64(i), Class: admit.AnySlot})
+	}
+	c, _ := p.Pick(admit.Long, now)
+	p.Done(c.Server, route.Result{Expected: time.Second, Took: 2 * time.Second, OK: true}, now)
+	p.Grant(c)
+	c, _ = p.Pick(admit.Long, now)
+	fmt.Println(c.Server)
+	// Output: minion-2
+}
--- /dev/null
+++ b/internal/route/picker.go
@@ -0,0 +1,252 @@
+package route
+
+import (
+	"math"
+	"time"
+
+	"github.com/google/btree"
+
+	"github.com/knapweedlug/knapweedlug/internal/admit"
+)
+
+// Picker chooses which of the credits of an entry a request uses. It is not
+// safe for concurrent use.
+type Picker struct {
+	backends  map[string]*backend
+	any       *btree.BTreeG[*backend] // by speed, those with credits for any class
+	short     *btree.BTreeG[*backend] // by speed, those with reserved credits
+	suspended []*backend
+	slowSum   float64 // sum of the logarithms of all backend servers
+}
+
+// treeDegree is the degree of the trees.
+const treeDegree = 16
+
+// NewPicker returns a picker that knows no backend server.
+func NewPicker() *Picker {
+	return &Picker{
+		backends: map[string]*backend{},
+		any:      btree.NewG(treeDegree, faster),
+		short:    btree.NewG(treeDegree, faster),
+	}
+}
+
+func faster(a, b *backend) bool {
+	if a.slow != b.slow {
+		return a.slow < b.slow
+	}
+	return a.name < b.name
+}
+
+// Add announces a backend server. It begins with a slow start.
+func (p *Picker) Add(server string) {
+	if b := p.backends[server]; b != nil {
+		p.change(b, func() { b.draining = false })
+		return
+	}
+	b := &backend{name: server, limit: startCredit, slow: p.mean()}
+	p.slowSum += b.slow
+	p.backends[server] = b
+}
+
+// Drain excludes a backend server from new requests.
+func (p *Picker) Drain(server string) {
+	if b := p.backends[server]; b != nil {
+		p.change(b, func() { b.draining = true })
+	}
+}
+
+// Remove forgets a backend server with its credits.
+func (p *Picker) Remove(server string) {
+	b := p.backends[server]
+	if b == nil {
+		return
+	}
+	p.unlist(b)
+	p.slowSum -= b.slow
+	delete(p.backends, server)
+	p.dropSuspended(b)
+}
+
+// Grant adds a credit. It reports false if the backend server isn't known.
+func (p *Picker) Grant(c Credit) bool {
+	b := p.backends[c.Server]
+	if b == nil {
+		return false
+	}
+	p.change(b, func() {
+		ids := b.list(c.Class)
+		*ids = append(*ids, c.ID)
+	})
+	return true
+}
+
+// Revoke drops a credit. It reports false if the credit isn't held, for
+// example because a request uses it; the agent refuses that request.
+func (p *Picker) Revoke(c Credit) bool {
+	b := p.backends[c.Server]
+	if b == nil {
+		return false
+	}
+	ids := b.list(c.Class)
+	for i, id := range *ids {
+		if id == c.ID {
+			p.change(b, func() { *ids = append((*ids)[:i], (*ids)[i+1:]...) })
+			return true
+		}
+	}
+	return false
+}
+
+// Offer returns the best slot that a request may use now: the fastest for any
+// class, or else the fastest reserved one.
+func (p *Picker) Offer(now time.Time) admit.Slot {
+	p.release(now)
+	if b, ok := p.any.Min(); ok {
+		return admit.Slot{Class: admit.AnySlot, Slow: p.relative(b)}
+	}
+	if b, ok := p.short.Min(); ok {
+		return admit.Slot{Class: admit.ShortSlot, Slow: p.relative(b)}
+	}
+	return admit.Slot{}
+}
+
+// Pick uses up the best credit for a request of the class. A short request
+// takes the fastest slot, and a reserved one before another on the same
+// backend server.
+func (p *Picker) Pick(class admit.Class, now time.Time) (Credit, bool) {
+	p.release(now)
+	best, kind := p.first(class)
+	if best == nil {
+		return Credit{}, false
+	}
+	c := Credit{Server: best.name, Class: kind}
+	p.change(best, func() {
+		ids := best.list(kind)
+		c.ID = (*ids)[0]
+		*ids = (*ids)[1:]
+		best.inflight++
+	})
+	return c, true
+}
+
+func (p *Picker) first(class admit.Class) (*backend, admit.SlotClass) {
+	anyBest, ok := p.any.Min()
+	if !ok {
+		anyBest = nil
+	}
+	if class == admit.Long {
+		return anyBest, admit.AnySlot
+	}
+	shortBest, ok := p.short.Min()
+	if ok && (anyBest == nil || !faster(anyBest, shortBest)) {
+		return shortBest, admit.ShortSlot
+	}
+	return anyBest, admit.AnySlot
+}
+
+// Done ends a request that used a credit of the backend server. It returns the
+// run time at the mean speed of the fleet.
+func (p *Picker) Done(server string, r Result, now time.Time) time.Duration {
+	b := p.backends[server]
+	if b == nil {
+		return r.Took
+	}
+	p.change(b, func() {
+		b.inflight--
+		before := b.slow
+		if r.OK {
+			b.succeed(r, p.mean())
+			p.slowSum += b.slow - before
+			return
+		}
+		b.fail()
+		if b.fails >= failLimit || b.suspends > 0 {
+			p.suspend(b, now)
+		}
+	})
+	return time.Duration(float64(r.Took) / p.relative(b))
+}
+
+// Return ends a request that the agent refused as not run: nothing is learned.
+func (p *Picker) Return(server string) {
+	if b := p.backends[server]; b != nil {
+		p.change(b, func() { b.inflight-- })
+	}
+}
+
+// Slow returns the learned time of a backend server relative to the mean.
+func (p *Picker) Slow(server string) float64 {
+	if b := p.backends[server]; b != nil {
+		return p.relative(b)
+	}
+	return 1
+}
+
+func (p *Picker) mean() float64 {
+	if len(p.backends) == 0 {
+		return 0
+	}
+	return p.slowSum / float64(len(p.backends))
+}
+
+func (p *Picker) relative(b *backend) float64 { return math.Exp(b.slow - p.mean()) }
+
+// suspend stops new requests to a backend server that fails everything, unless
+// half of the fleet is suspended already: then the requests are at fault.
+func (p *Picker) suspend(b *backend, now time.Time) {
+	if !b.until.IsZero() || 2*(len(p.suspended)+1) > len(p.backends) {
+		return
+	}
+	b.suspend(now)
+	p.suspended = append(p.suspended, b)
+}
+
+// release ends the suspensions that are over.
+func (p *Picker) release(now time.Time) {
+	for i := 0; i < len(p.suspended); {
+		b := p.suspended[i]
+		if now.Before(b.until) {
+			i++
+			continue
+		}
+		p.suspended = append(p.suspended[:i], p.suspended[i+1:]...)
+		p.change(b, func() { b.until = time.Time{} })
+	}
+}
+
+func (p *Picker) dropSuspended(b *backend) {
+	for i, other := range p.suspended {
+		if other == b {
+			p.suspended = append(p.suspended[:i], p.suspended[i+1:]...)
+			return
+		}
+	}
+}
+
+// change changes a backend server and keeps the trees in order.
+func (p *Picker) change(b *backend, f func()) {
+	p.unlist(b)
+	f()
+	if !b.usable() {
+		return
+	}
+	if len(b.short) > 0 {
+		p.short.ReplaceOrInsert(b)
+		b.listed[0] = true
+	}
+	if len(b.any) > 0 {
+		p.any.ReplaceOrInsert(b)
+		b.listed[1] = true
+	}
+}
+
+func (p *Picker) unlist(b *backend) {
+	if b.listed[0] {
+		p.short.Delete(b)
+	}
+	if b.listed[1] {
+		p.any.Delete(b)
+	}
+	b.listed = [2]bool{}
+}
