conf: configuration, deltas and the holder of the highest revision seen

Config is an immutable value, Delta carries values (so that an overlapping delta is harmless), Holder refuses a lower revision and another cluster, and is fresh only until the deadline of its last vouch.

--- /dev/null
+++ b/internal/conf/config.go
@@ -0,0 +1,127 @@
+package conf
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+// Config is the teams and services at one revision. It is immutable: With and
+// Without methods return a changed copy at the same revision. The zero value
+// is an empty configuration at revision 0.
+type Config struct {
+	revision uint64
+	teams    map[string]model.Team
+	services map[string]model.Service
+}
+
+// Revision returns the revision that the configuration stands at.
+func (c Config) Revision() uint64 { return c.revision }
+
+// Team returns the team of that name.
+func (c Config) Team(name string) (model.Team, bool) {
+	t, ok := c.teams[name]
+	return t, ok
+}
+
+// Service returns the service of that name.
+func (c Config) Service(name string) (model.Service, bool) {
+	s, ok := c.services[name]
+	return s, ok
+}
+
+// Teams returns every team, ordered by name.
+func (c Config) Teams() []model.Team { return sorted(c.teams) }
+
+// Services returns every service, ordered by name.
+func (c Config) Services() []model.Service { return sorted(c.services) }
+
+// WithRevision returns the configuration at another revision.
+func (c Config) WithRevision(revision uint64) Config {
+	c.revision = revision
+	return c
+}
+
+// WithTeam returns the configuration with the team added or replaced.
+func (c Config) WithTeam(t model.Team) Config {
+	c.teams = with(c.teams, t.Name, t)
+	return c
+}
+
+// WithoutTeam returns the configuration without the team.
+func (c Config) WithoutTeam(name string) Config {
+	c.teams = without(c.teams, name)
+	return c
+}
+
+// WithService returns the configuration with the service added or replaced.
+func (c Config) WithService(s model.Service) Config {
+	c.services = with(c.services, s.Name, s)
+	return c
+}
+
+// WithoutService returns the configuration without the service.
+func (c Config) WithoutService(name string) Config {
+	c.services = without(c.services, name)
+	return c
+}
+
+// content is the form in which a configuration is encoded.
+type content struct {
+	Revision uint64          `json:"revision"`
+	Teams    []model.Team    `json:"teams,omitempty"`
+	Services []model.Service `json:"services,omitempty"`
+}
+
+// MarshalJSON encodes the configuration with teams and services in order.
+func (c Config) MarshalJSON() ([]byte, error) {
+	return json.Marshal(content{Revision: c.revision, Teams: c.Teams(), Services: c.Services()})
+}
+
+// UnmarshalJSON replaces the configuration by the encoded one.
+func (c *Config) UnmarshalJSON(b []byte) error {
+	var in content
+	if err := json.Unmarshal(b, &in); err != nil {
+		return err
+	}
+	*c = fromLists(in.Revision, in.Teams, in.Services)
+	return nil
+}
+
+func fromLists(revision uint64, teams []model.Team, services []model.Service) Config {
+	c := Config{
+		revision: revision,
+		teams:    make(map[string]model.Team, len(teams)),
+		services: make(map[string]model.Service, len(services)),
+	}
+	for _, t := range teams {
+		c.teams[t.Name] = t
+	}
+	for _, s := range services {
+		c.services[s.Name] = s
+	}
+	return c
+}
+
+func sorted[T any](m map[string]T) []T {
+	out := make([]T, 0, len(m))
+	for _, name := range slices.Sorted(maps.Keys(m)) {
+		out = append(out, m[name])
+	}
+	return out
+}
+
+func with[T any](m map[string]T, name string, v T) map[string]T {
+	out := make(map[string]T, len(m)+1)
+	maps.Copy(out, m)
+	out[name] = v
+	return out
+}
+
+func without[T any](m map[string]T, name string) map[string]T {
+	out := maps.Clone(m)
+	delete(out, name)
+	return out
+}
--- /dev/null
+++ b/internal/conf/holder.go
@@ -0,0 +1,109 @@
+package conf
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Bound is how long one answer that a revision is current may be relied upon,
+// counted from the moment at which the question was sent. It leaves a second
+// for the answer's way, so that a change is in force everywhere, or the
+// process has stopped taking work, within five seconds.
+const Bound = 4 * time.Second
+
+// Holder keeps the highest configuration revision that a process has seen and
+// the deadline until which that revision is known to be current. A new Holder
+// is not fresh: a process serves nothing before its first vouch. It is safe
+// for concurrent use.
+type Holder struct {
+	cluster string
+
+	mu       sync.RWMutex
+	cfg      Config
+	loaded   bool
+	heard    uint64 // highest revision known to exist
+	deadline time.Time
+}
+
+// NewHolder returns an empty holder for one cluster.
+func NewHolder(cluster string) *Holder {
+	return &Holder{cluster: cluster}
+}
+
+// Apply takes a delta in. It refuses one of another cluster (ErrCluster), one
+// that ends below the revision held (ErrStale) and one that begins above it
+// (ErrGap); a refused delta changes nothing.
+func (h *Holder) Apply(d Delta) error {
+	if d.Cluster != h.cluster {
+		return errors.Wrapf(ErrCluster, "delta of cluster %q, held %q", d.Cluster, h.cluster)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.loaded && !d.Full && d.From > 0 {
+		return errors.Wrapf(ErrGap, "delta from revision %d, nothing held", d.From)
+	}
+	cfg, err := h.cfg.Apply(d)
+	if err != nil {
+		return err
+	}
+	h.cfg = cfg
+	h.loaded = true
+	h.heard = max(h.heard, d.Revision)
+	return nil
+}
+
+// Hear notes that a revision exists, as heartbeats tell.
+func (h *Holder) Hear(revision uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.heard = max(h.heard, revision)
+}
+
+// Vouch says that the revision held is known to be current until a deadline:
+// the time at which the question was sent plus Bound, less the age of what a
+// relay knew. It has no effect while a higher revision is known to exist or
+// nothing is held, and never moves the deadline back.
+func (h *Holder) Vouch(deadline time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.loaded || h.heard > h.cfg.Revision() {
+		return
+	}
+	if deadline.After(h.deadline) {
+		h.deadline = deadline
+	}
+}
+
+// Fresh reports whether the revision held may be acted upon.
+func (h *Holder) Fresh(now time.Time) bool {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.loaded && now.Before(h.deadline)
+}
+
+// Deadline returns until when the revision held may be acted upon, so that a
+// relay can pass on what is left of it.
+func (h *Holder) Deadline() time.Time {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.deadline
+}
+
+// Behind reports whether a higher revision than the one held is known to exist.
+func (h *Holder) Behind() bool {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.heard > h.cfg.Revision()
+}
+
+// Config returns the configuration held.
+func (h *Holder) Config() Config {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.cfg
+}
+
+// Revision returns the revision held.
+func (h *Holder) Revision() uint64 { return h.Config().Revision() }
