--- /dev/null
+++ b/internal/state/claim.go
@@ -0,0 +1,223 @@
+package state
+
+import (
+	"fmt"
+	"time"
+	"unicode/utf8"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+// Limits of claims.
+const (
+	MaxKey    = 256      // bytes of a request key
+	MaxAnswer = 64 << 10 // bytes of an answer's body that are kept
+	MaxHeader = 8 << 10  // bytes of an answer's headers that are kept
+)
+
+// ClaimState is where a claim stands.
+type ClaimState string
+
+// The states of a claim.
+const (
+	ClaimFlight   ClaimState = "flight"   // an attempt may be running
+	ClaimAnswered ClaimState = "answered" // it ran and its answer is known
+	ClaimNotRun   ClaimState = "notrun"   // no attempt ran; a new one may be granted
+	ClaimUnknown  ClaimState = "unknown"  // it may have run; no attempt is ever granted again
+)
+
+// Header is one header line of an answer.
+type Header struct {
+	Name  string `json:"name"`
+	Value string `json:"value"`
+}
+
+// Answer is what a backend server answered.
+type Answer struct {
+	Status  int      `json:"status"`
+	Header  []Header `json:"header,omitempty"`
+	Body    []byte   `json:"body,omitempty"`
+	Dropped bool     `json:"dropped,omitempty"` // the body was too large to keep
+}
+
+// Claim says who may run a non-idempotent request and what came of it.
+type Claim struct {
+	Team     string     `json:"team"`
+	Key      string     `json:"key"`
+	Service  string     `json:"service"`
+	Body     string     `json:"body"` // hash of the request's body
+	State    ClaimState `json:"state"`
+	Epoch    uint64     `json:"epoch"`   // of the attempt last granted
+	Entry    string     `json:"entry"`   // entry that made that attempt
+	Attempt  string     `json:"attempt"` // id of that attempt
+	Answer   *Answer    `json:"answer,omitempty"`
+	Claimed  time.Time  `json:"claimed"`  // when that attempt was granted
+	Deadline time.Time  `json:"deadline"` // until when the claim is kept
+}
+
+// ClaimRequest asks for the right to run a non-idempotent request once.
+type ClaimRequest struct {
+	Team    string `json:"team"`
+	Service string `json:"service"`
+	Key     string `json:"key"`
+	Body    string `json:"body"` // hash of the request's body
+	Entry   string `json:"entry"`
+	Attempt string `json:"attempt"` // unique id, so that a command proposed twice is granted once
+}
+
+// SettleClaim says what came of an attempt. ClaimNotRun is only for attempts
+// that can no longer start.
+type SettleClaim struct {
+	Team   string     `json:"team"`
+	Key    string     `json:"key"`
+	Epoch  uint64     `json:"epoch"`
+	State  ClaimState `json:"state"` // answered, notrun or unknown
+	Answer *Answer    `json:"answer,omitempty"`
+}
+
+// ClaimResult tells whether the attempt may run, and else how the claim stands.
+type ClaimResult struct {
+	Granted bool
+	Claim   Claim
+}
+
+func claimKey(team, key string) string { return team + "\x00" + key }
+
+// Check returns what is wrong with the request, by field.
+func (c ClaimRequest) Check() []model.Refusal {
+	var bad []model.Refusal
+	for _, f := range []struct{ field, value string }{
+		{"team", c.Team},
+		{"service", c.Service},
+		{"key", c.Key},
+		{"body", c.Body},
+		{"entry", c.Entry},
+		{"attempt", c.Attempt},
+	} {
+		if f.value == "" {
+			bad = append(bad, model.Refusal{Field: f.field, Reason: "is missing"})
+		}
+		if len(f.value) > MaxKey {
+			bad = append(bad, tooLong(f.field, f.value, MaxKey))
+		}
+		if !utf8.ValidString(f.value) {
+			bad = append(bad, refuse(f.field, f.value, "is not valid UTF-8"))
+		}
+	}
+	return bad
+}
+
+// Check returns what is wrong with the settlement, by field.
+func (c SettleClaim) Check() []model.Refusal {
+	switch c.State {
+	case ClaimNotRun, ClaimUnknown:
+		if c.Answer != nil {
+			return []model.Refusal{{Field: "answer", Reason: "is only for answered claims"}}
+		}
+		return nil
+	case ClaimAnswered:
+		if c.Answer == nil {
+			return []model.Refusal{{Field: "answer", Reason: "is missing"}}
+		}
+		return c.Answer.check()
+	}
+	return []model.Refusal{{Field: "state", Value: string(c.State), Reason: "is not answered, notrun or unknown"}}
+}
+
+func (a Answer) check() []model.Refusal {
+	var bad []model.Refusal
+	if a.Status < 100 || a.Status > 599 {
+		bad = append(bad, refuse("answer.status", a.Status, "is not an HTTP status"))
+	}
+	if len(a.Body) > MaxAnswer {
+		bad = append(bad, refuse("answer.body", len(a.Body), "is too long to keep, in bytes"))
+	}
+	size := 0
+	for i, h := range a.Header {
+		size += len(h.Name) + len(h.Value)
+		if !utf8.ValidString(h.Name + h.Value) {
+			bad = append(bad, refuse(fmt.Sprintf("answer.header[%d]", i), h.Name, "is not valid UTF-8"))
+		}
+	}
+	if size > MaxHeader {
+		bad = append(bad, refuse("answer.header", size, "is too long to keep, in bytes"))
+	}
+	return bad
+}
+
+// claimRequest grants the first attempt, and a further one only after the
+// attempt before it is known not to have run.
+func (d *data) claimRequest(c ClaimRequest) Result {
+	if bad := c.Check(); len(bad) > 0 {
+		return refused(bad)
+	}
+	old, ok := d.claims.get(claimKey(c.Team, c.Key))
+	if !ok {
+		return d.newClaim(c)
+	}
+	if old.Body != c.Body || old.Service != c.Service {
+		return failed(errors.Wrapf(ErrKeyReused, "key %q of team %q", c.Key, c.Team))
+	}
+	if old.State == ClaimNotRun {
+		return d.grant(*old, c)
+	}
+	same := old.State == ClaimFlight && old.Entry == c.Entry && old.Attempt == c.Attempt
+	return Result{Claim: &ClaimResult{Granted: same, Claim: *old}}
+}
+
+// newClaim makes a claim that is kept as long as its service says.
+func (d *data) newClaim(c ClaimRequest) Result {
+	if _, ok := d.config.Team(c.Team); !ok {
+		return refused([]model.Refusal{{Field: "team", Value: c.Team, Reason: "is not a team"}})
+	}
+	s, ok := d.config.Service(c.Service)
+	if !ok {
+		return refused([]model.Refusal{{Field: "service", Value: c.Service, Reason: "is not a service"}})
+	}
+	if s.KeepDays == 0 {
+		return refused([]model.Refusal{{
+			Field: "service", Value: c.Service,
+			Reason: "keeps no answers (keepdays is 0), so it takes no non-idempotent requests",
+		}})
+	}
+	deadline := d.later(time.Duration(s.KeepDays) * 24 * time.Hour)
+	d.setDue(deadline, dueClaim, claimKey(c.Team, c.Key))
+	return d.grant(Claim{
+		Team: c.Team, Key: c.Key, Service: s.Name, Body: c.Body, Deadline: deadline,
+	}, c)
+}
+
+func (d *data) grant(cl Claim, c ClaimRequest) Result {
+	cl.State = ClaimFlight
+	cl.Epoch = d.index
+	cl.Entry = c.Entry
+	cl.Attempt = c.Attempt
+	cl.Claimed = d.now
+	d.claims.set(claimKey(cl.Team, cl.Key), &cl)
+	return Result{Claim: &ClaimResult{Granted: true, Claim: cl}}
+}
+
+// settleClaim notes what came of the current attempt. The first settlement
+// stands, except that the answer of an attempt called unknown may still come.
+func (d *data) settleClaim(c SettleClaim) Result {
+	if bad := c.Check(); len(bad) > 0 {
+		return refused(bad)
+	}
+	old, ok := d.claims.get(claimKey(c.Team, c.Key))
+	if !ok {
+		return failed(errors.Wrapf(ErrNotFound, "claim on key %q of team %q", c.Key, c.Team))
+	}
+	if c.Epoch != old.Epoch {
+		return failed(errors.Wrapf(ErrFenced, "claim epoch %d, current %d", c.Epoch, old.Epoch))
+	}
+	cl := *old
+	if cl.State != ClaimFlight && (cl.State != ClaimUnknown || c.State != ClaimAnswered) {
+		return Result{Err: errors.Wrapf(ErrSettled, "as %s", cl.State), Claim: &ClaimResult{Claim: cl}}
+	}
+	cl.State = c.State
+	cl.Answer = c.Answer
+	d.claims.set(claimKey(c.Team, c.Key), &cl)
+	return Result{Claim: &ClaimResult{Claim: cl}}
+}
--- /dev/null
+++ b/internal/state/data.go
@@ -0,0 +1,58 @@
+package state
+
+import (
+	"time"
+
+	"github.com/knapweedlug/knapweedlug/internal/conf"
+)
+
+// data is everything that the state machine holds. Rows of its tables are
+// pointers to values that are never changed in place, so that a clone stays
+// as it was.
+type data struct {
+	index uint64    // log index of the last command
+	term  uint64    // highest term seen
+	now   time.Time // time of the last command; not part of a snapshot
+	fleet uint64    // log index of the last change that took capacity away
+	rules uint64    // revision of the last change of teams or services
+
+	config  conf.Config
+	history table[uint64, *Revision]
+	workers table[string, *Worker]
+	jobs    table[string, *Job]
+	live    table[string, int]    // jobs that haven't ended, by team
+	open    table[string, string] // jobs that haven't ended, id to team
+	plans   table[string, *planRecord]
+	intents table[string, string] // intent key to plan id
+	claims  table[string, *Claim]
+	due     table[string, struct{}] // what may be dropped, ordered by deadline
+}
+
+func newData() *data {
+	return &data{
+		history: newTable[uint64, *Revision](),
+		workers: newTable[string, *Worker](),
+		jobs:    newTable[string, *Job](),
+		live:    newTable[string, int](),
+		open:    newTable[string, string](),
+		plans:   newTable[string, *planRecord](),
+		intents: newTable[string, string](),
+		claims:  newTable[string, *Claim](),
+		due:     newTable[string, struct{}](),
+	}
+}
+
+// clone returns a copy that shares structure with d. Both stay usable.
+func (d *data) clone() *data {
+	out := *d
+	out.history = d.history.clone()
+	out.workers = d.workers.clone()
+	out.jobs = d.jobs.clone()
+	out.live = d.live.clone()
+	out.open = d.open.clone()
+	out.plans = d.plans.clone()
+	out.intents = d.intents.clone()
+	out.claims = d.claims.clone()
+	out.due = d.due.clone()
+	return &out
+}
--- /dev/null
+++ b/internal/state/expire.go
@@ -0,0 +1,105 @@
+package state
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Limits of one Expire command, so that it never holds the log up for long.
+const (
+	defaultExpire = 256
+	maxExpire     = 4096
+)
+
+// Expire drops ended jobs, settled plans and claims whose deadline has passed,
+// at most Limit of them, the earliest first. Open plans past their deadline
+// are marked as expired.
+type Expire struct {
+	Limit int `json:"limit,omitempty"` // 0 means a default
+}
+
+// The kinds of records that have a deadline.
+const (
+	dueClaim = "claim"
+	dueJob   = "job"
+	duePlan  = "plan"
+	dueOpen  = "open" // an open plan's deadline to be confirmed
+)
+
+// dueKey orders by deadline, then by kind and id.
+func dueKey(at time.Time, kind, id string) string {
+	return fmt.Sprintf("%020d %s %s", max(at.UnixNano(), 0), kind, id)
+}
+
+func (d *data) setDue(at time.Time, kind, id string) {
+	d.due.set(dueKey(at, kind, id), struct{}{})
+}
+
+// parseDue takes a key apart.
+func parseDue(key string) (nanos int64, kind, id string) {
+	at, rest, _ := strings.Cut(key, " ")
+	kind, id, _ = strings.Cut(rest, " ")
+	nanos, _ = strconv.ParseInt(at, 10, 64)
+	return nanos, kind, id
+}
+
+func (d *data) expire(c Expire) Result {
+	limit := c.Limit
+	if limit == 0 {
+		limit = defaultExpire
+	}
+	if limit < 0 || limit > maxExpire {
+		return failed(errors.Wrapf(ErrBadCommand, "limit %d, want 1 to %d", c.Limit, maxExpire))
+	}
+	var r Result
+	for r.Expired < limit && d.expireFirst() {
+		r.Expired++
+	}
+	r.More = d.anyDue()
+	return r
+}
+
+// anyDue reports whether the earliest deadline has passed.
+func (d *data) anyDue() bool {
+	key, _, ok := d.due.first()
+	if !ok {
+		return false
+	}
+	at, _, _ := parseDue(key)
+	return at <= d.now.UnixNano()
+}
+
+// expireFirst drops the record with the earliest deadline, if that has passed.
+func (d *data) expireFirst() bool {
+	if !d.anyDue() {
+		return false
+	}
+	key, _, _ := d.due.first()
+	d.due.drop(key)
+	_, kind, id := parseDue(key)
+	switch kind {
+	case dueClaim:
+		d.claims.drop(id)
+	case dueJob:
+		d.jobs.drop(id)
+	case duePlan:
+		d.dropPlan(id)
+	case dueOpen:
+		d.lapsePlan(id)
+	}
+	return true
+}
+
+// NextDeadline returns when the next record is due, and false if none is.
+func (v View) NextDeadline() (time.Time, bool) {
+	key, _, ok := v.data.due.first()
+	if !ok {
+		return time.Time{}, false
+	}
+	at, _, _ := parseDue(key)
+	return time.Unix(0, at).UTC(), true
+}
--- /dev/null
+++ b/internal/state/fit.go
@@ -0,0 +1,94 @@
+package state
+
+import (
+	"fmt"
+	"math"
+
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+// place is where a worker stands, down to the level that a shape asks for.
+type place struct {
+	region, domain, rack, worker string
+}
+
+func placeOf(w *Worker, near model.Near) place {
+	p := place{region: w.Region}
+	if near == model.NearAny {
+		return p
+	}
+	p.domain = w.Domain
+	if near == model.NearDomain {
+		return p
+	}
+	p.rack = w.Rack
+	if near == model.NearRack {
+		return p
+	}
+	p.worker = w.Name
+	return p
+}
+
+// holds returns how many members of a shape the whole worker could hold.
+func holds(w *Worker, s model.Shape) int {
+	if s.Kind != "" && s.Kind != w.Kind {
+		return 0
+	}
+	n := min(w.Cores/s.Cores, int(min(w.Memory/s.Memory, math.MaxInt32)))
+	if s.Accels > 0 {
+		n = min(n, w.Accels/s.Accels)
+	}
+	return n
+}
+
+// widest returns how many members of a shape the best place of the listed
+// fleet could hold if it were idle and healthy.
+func (d *data) widest(s model.Shape) int {
+	sums := map[place]int{}
+	best := 0
+	for _, w := range d.workers.all() {
+		n := holds(w, s)
+		if n == 0 {
+			continue
+		}
+		p := placeOf(w, s.Near)
+		sums[p] += n
+		best = max(best, sums[p])
+	}
+	return best
+}
+
+// checkShape returns why no fleet of today's could hold a shape that is valid
+// by itself.
+func (d *data) checkShape(field string, s model.Shape) []model.Refusal {
+	best := d.widest(s)
+	if best >= s.Members {
+		return nil
+	}
+	where := string(s.Near)
+	if s.Near == model.NearAny {
+		where = "region"
+	}
+	why := fmt.Sprintf("the listed fleet holds at most %d such members within one %s", best, where)
+	return []model.Refusal{refuse(field+".members", s.Members, why)}
+}
+
+// checkGuarantee also refuses one whose totals don't fit into an int64.
+func (d *data) checkGuarantee(field string, g model.Guarantee) []model.Refusal {
+	if overflows(int64(g.Count), int64(g.Shape.Members), g.Shape.Memory) {
+		return []model.Refusal{refuse(field+".count", g.Count, "makes the total memory overflow")}
+	}
+	return d.checkShape(field+".shape", g.Shape)
+}
+
+// overflows reports whether the product of positive factors exceeds an int64.
+func overflows(factors ...int64) bool {
+	product := int64(1)
+	for _, f := range factors {
+		if f > math.MaxInt64/product {
+			return true
+		}
+		product *= f
+	}
+	return false
+}
--- /dev/null
+++ b/internal/state/job.go
@@ -0,0 +1,294 @@
+package state
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+// keepJobs is how long an ended job can still be looked up.
+const keepJobs = 3 * 24 * time.Hour
+
+// MemberState is where a member of a job stands, as its agent last said.
+type MemberState string
+
+// The states of a member.
+const (
+	MemberNone         MemberState = ""             // nothing was reported
+	MemberPrepared     MemberState = "prepared"     // lease held, not started
+	MemberRunning      MemberState = "running"      // started
+	MemberCheckpointed MemberState = "checkpointed" // state saved, may still run
+	MemberStopped      MemberState = "stopped"      // runs no more
+	MemberFailed       MemberState = "failed"       // ended with an error
+	MemberDone         MemberState = "done"         // ended well
+)
+
+// AtRest reports whether a member in this state runs no more.
+func (m MemberState) AtRest() bool {
+	return m == MemberStopped || m == MemberFailed || m == MemberDone
+}
+
+// Job is a job with what the state machine holds about it.
+type Job struct {
+	model.Job
+	Begun  uint64        `json:"begun,omitempty"`  // epoch under which a start was last committed; 0 means never
+	Moved  uint64        `json:"moved,omitempty"`  // log index at which its phase last changed
+	Cancel bool          `json:"cancel,omitempty"` // an operator cancelled it, so it is never queued again
+	Status []MemberState `json:"status,omitempty"` // by member index, under the current epoch
+	Plan   string        `json:"plan,omitempty"`   // plan that last touched it
+	Index  uint64        `json:"index,omitempty"`  // log index at which that plan was confirmed
+}
+
+// PlaceJob takes a queued job to its workers under a new fencing epoch, which
+// is the log index of the command.
+type PlaceJob struct {
+	ID       string         `json:"id"`
+	Members  []model.Member `json:"members"`
+	Borrowed bool           `json:"borrowed,omitempty"` // outside its team's guarantee
+	Seen     uint64         `json:"seen,omitempty"`     // View.Fleet that the placement was decided on; 0 means unchecked
+}
+
+// StartJob is the one decision that starts every member of a gang. It is
+// refused unless all members were prepared under the epoch.
+type StartJob struct {
+	ID    string `json:"id"`
+	Epoch uint64 `json:"epoch"`
+}
+
+// StopJob tells every member of a preparing or running job to stop.
+type StopJob struct {
+	ID     string `json:"id"`
+	Epoch  uint64 `json:"epoch"`
+	Reason string `json:"reason"`
+}
+
+// EndJob releases a job's workers and takes it to an ended state or back to
+// the queue. Unless Lapsed is set, every member must be at rest. A job that
+// was ever started goes back to the queue only if it is idempotent.
+type EndJob struct {
+	ID     string         `json:"id"`
+	Epoch  uint64         `json:"epoch"`
+	State  model.JobState `json:"state"`            // done, failed, cancelled or queued
+	Reason string         `json:"reason,omitempty"` // why it ended or waits again
+	Lapsed bool           `json:"lapsed,omitempty"` // the leader knows that every lease under the epoch has run out
+}
+
+func (d *data) placeJob(c PlaceJob) Result {
+	j, err := d.findJob(c.ID)
+	if err != nil {
+		return failed(err)
+	}
+	if j.State != model.JobQueued {
+		return failed(badState(j))
+	}
+	if c.Seen != 0 && c.Seen != d.fleet {
+		return failed(errors.Wrapf(ErrSuperseded, "decided at %d, last change at %d", c.Seen, d.fleet))
+	}
+	members, err := d.checkMembers(j, c.Members)
+	if err != nil {
+		return failed(err)
+	}
+	j.Job = j.WithState(model.JobPreparing, "")
+	j.Epoch = d.index
+	j.Members = members
+	j.Borrowed = c.Borrowed
+	j.Attempts++
+	j.Status = make([]MemberState, len(members))
+	d.fleet = d.index
+	j.Moved = d.index
+	d.putJob(j)
+	d.assignAll(j)
+	return Result{Job: &j}
+}
+
+// checkMembers returns the members in order, with the names that the workers'
+// table holds, so that the strings aren't kept twice.
+func (d *data) checkMembers(j Job, in []model.Member) ([]model.Member, error) {
+	if len(in) != j.Shape.Members {
+		return nil, errors.Wrapf(ErrRefused, "members: %d given, the shape has %d", len(in), j.Shape.Members)
+	}
+	out := make([]model.Member, len(in))
+	for i, m := range in {
+		if m.Index != i {
+			return nil, errors.Wrapf(ErrRefused, "members[%d].index: %d", i, m.Index)
+		}
+		w, ok := d.workers.get(m.Worker)
+		if !ok || w.State != model.WorkerReady {
+			return nil, errors.Wrapf(ErrRefused, "members[%d].worker: %q is not ready", i, m.Worker)
+		}
+		out[i] = model.Member{Index: i, Worker: w.Name}
+	}
+	return out, nil
+}
+
+func (d *data) startJob(c StartJob) Result {
+	j, err := d.findLease(c.ID, c.Epoch)
+	if err != nil {
+		return failed(err)
+	}
+	if j.State == model.JobRunning {
+		return Result{Job: &j}
+	}
+	if j.State != model.JobPreparing {
+		return failed(badState(j))
+	}
+	for i, m := range j.Status {
+		if m != MemberPrepared {
+			return failed(errors.Wrapf(ErrBadState, "member %d is %q, not prepared", i, m))
+		}
+	}
+	j.Job = j.WithState(model.JobRunning, "")
+	j.Begun = j.Epoch
+	j.Started = d.now
+	j.Moved = d.index
+	d.putJob(j)
+	d.assignAll(j)
+	return Result{Job: &j}
+}
+
+func (d *data) stopJob(c StopJob) Result {
+	j, err := d.findLease(c.ID, c.Epoch)
+	if err != nil {
+		return failed(err)
+	}
+	if j.State == model.JobStopping {
+		return Result{Job: &j}
+	}
+	if j.State != model.JobPreparing && j.State != model.JobRunning {
+		return failed(badState(j))
+	}
+	j.Job = j.WithState(model.JobStopping, c.Reason)
+	j.Moved = d.index
+	d.putJob(j)
+	d.assignAll(j)
+	return Result{Job: &j}
+}
+
+func (d *data) endJob(c EndJob) Result {
+	j, err := d.findLease(c.ID, c.Epoch)
+	if err != nil {
+		return failed(err)
+	}
+	if err := j.checkEnd(c); err != nil {
+		return failed(err)
+	}
+	d.unassignAll(j)
+	j.Job = j.WithState(c.State, c.Reason)
+	j.Status = nil
+	if c.State == model.JobQueued {
+		j.Members = nil
+		j.Borrowed = false
+	} else {
+		j.Ended = d.now
+	}
+	d.putJob(j)
+	return Result{Job: &j}
+}
+
+// checkEnd says whether the job may end, or be queued again, as asked.
+func (j Job) checkEnd(c EndJob) error {
+	switch {
+	case j.State.Ended():
+		return badState(j)
+	case c.State != model.JobQueued && !c.State.Ended():
+		return errors.Wrapf(ErrBadCommand, "end state %q", c.State)
+	case j.State == model.JobQueued && c.State == model.JobQueued:
+		return badState(j)
+	case c.State == model.JobQueued && j.Cancel:
+		return errors.Wrapf(ErrBadState, "job %q was cancelled", j.ID)
+	case c.State == model.JobQueued && j.Begun != 0 && !j.Idempotent:
+		return errors.Wrapf(ErrBadState, "job %q was started and is not idempotent", j.ID)
+	case c.State == model.JobDone && !j.all(MemberDone):
+		return errors.Wrapf(ErrBadState, "job %q has members that are not done", j.ID)
+	case !c.Lapsed && !j.AtRest():
+		return errors.Wrapf(ErrBadState, "job %q has members that may still run", j.ID)
+	}
+	return nil
+}
+
+// AtRest reports whether no member of the job runs any more. Members that
+// were only asked to prepare count as holding their lease.
+func (j Job) AtRest() bool {
+	for _, m := range j.Status {
+		if !m.AtRest() {
+			return false
+		}
+	}
+	return true
+}
+
+func (j Job) all(want MemberState) bool {
+	for _, m := range j.Status {
+		if m != want {
+			return false
+		}
+	}
+	return len(j.Status) > 0
+}
+
+func (d *data) findJob(id string) (Job, error) {
+	j, ok := d.jobs.get(id)
+	if !ok {
+		return Job{}, errors.Wrapf(ErrNotFound, "job %q", id)
+	}
+	return *j, nil
+}
+
+// findLease returns the job if the epoch is the one its members run under.
+func (d *data) findLease(id string, epoch uint64) (Job, error) {
+	j, err := d.findJob(id)
+	if err != nil {
+		return j, err
+	}
+	if j.Epoch != epoch {
+		return j, errors.Wrapf(ErrFenced, "job %q: epoch %d, current %d", id, epoch, j.Epoch)
+	}
+	return j, nil
+}
+
+func badState(j Job) error {
+	return errors.Wrapf(ErrBadState, "job %q is %s", j.ID, j.State)
+}
+
+// putJob stores a job and keeps the counts of live jobs and the deadline of
+// ended ones.
+func (d *data) putJob(j Job) {
+	old, ok := d.jobs.get(j.ID)
+	wasLive := ok && !old.State.Ended()
+	isLive := !j.State.Ended()
+	if !wasLive && isLive {
+		d.addLive(j.Team, 1)
+		d.open.set(j.ID, j.Team)
+	}
+	if wasLive && !isLive {
+		d.addLive(j.Team, -1)
+		d.open.drop(j.ID)
+		d.setDue(d.later(keepJobs), dueJob, j.ID)
+	}
+	d.jobs.set(j.ID, &j)
+}
+
+func (d *data) addLive(team string, n int) {
+	had, _ := d.live.get(team)
+	if had+n == 0 {
+		d.live.drop(team)
+		return
+	}
+	d.live.set(team, had+n)
+}
+
+// assignAll gives each member to its worker; on a change of phase it only
+// moves the workers' versions on.
+func (d *data) assignAll(j Job) {
+	for _, m := range j.Members {
+		d.assign(m.Worker, TaskRef{Job: j.ID, Member: m.Index})
+	}
+}
+
+func (d *data) unassignAll(j Job) {
+	for _, m := range j.Members {
+		d.unassign(m.Worker, TaskRef{Job: j.ID, Member: m.Index})
+	}
+}
--- /dev/null
+++ b/internal/state/report.go
@@ -0,0 +1,95 @@
+package state
+
+import (
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
+// MemberReport is what an agent says about one member under one epoch.
+type MemberReport struct {
+	Job    string      `json:"job"`
+	Epoch  uint64      `json:"epoch"`
+	Member int         `json:"member"`
+	State  MemberState `json:"state"`
+	Reason string      `json:"reason,omitempty"`
+}
+
+// Report carries the reports of many members at once.
+type Report struct {
+	Members []MemberReport `json:"members"`
+}
+
+// ReportError is one report that wasn't taken in, by its place in the batch.
+type ReportError struct {
+	At  int
+	Err error
+}
+
+// rank orders the states of a member: a report never takes it back, so that
+// late and doubled reports are harmless.
+func (m MemberState) rank() int {
+	switch m {
+	case MemberPrepared:
+		return 1
+	case MemberRunning:
+		return 2
+	case MemberCheckpointed:
+		return 3
+	case MemberStopped, MemberFailed, MemberDone:
+		return 4
+	}
+	return 0
+}
+
+// report takes in every report that stands on its own; the others are
+// returned with their reason.
+func (d *data) report(c Report) Result {
+	var r Result
+	fresh := map[string]bool{} // jobs whose Status was copied for this command
+	for i, m := range c.Members {
+		if err := d.reportMember(m, fresh); err != nil {
+			r.Refused = append(r.Refused, ReportError{At: i, Err: err})
+		}
+	}
+	return r
+}
+
+func (d *data) reportMember(m MemberReport, fresh map[string]bool) error {
+	j, err := d.findLease(m.Job, m.Epoch)
+	if err != nil {
+		return err
+	}
+	if err := j.checkReport(m); err != nil {
+		return err
+	}
+	if m.State.rank() <= j.Status[m.Member].rank() {
+		return nil
+	}
+	if !fresh[j.ID] {
+		j.Status = slices.Clone(j.Status)
+		fresh[j.ID] = true
+	}
+	j.Status[m.Member] = m.State
+	if m.State == MemberFailed && m.Reason != "" {
+		j.Reason = m.Reason
+	}
+	d.putJob(j)
+	return nil
+}
+
+func (j Job) checkReport(m MemberReport) error {
+	if m.Member < 0 || m.Member >= len(j.Status) {
+		return errors.Wrapf(ErrBadState, "job %q (%s) has no member %d", j.ID, j.State, m.Member)
+	}
+	switch m.State {
+	case MemberPrepared, MemberStopped, MemberFailed:
+		return nil
+	case MemberRunning, MemberCheckpointed, MemberDone:
+		if j.Begun != j.Epoch {
+			return errors.Wrapf(ErrBadState, "job %q is %s, so no member can be %s", j.ID, j.State, m.State)
+		}
+		return nil
+	}
+	return errors.Wrapf(ErrBadCommand, "member state %q", m.State)
+}
--- /dev/null
+++ b/internal/state/stage.go
@@ -0,0 +1,126 @@
+package state
+
+import (
+	"fmt"
+
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+// submit stages a new job.
+func (g *draft) submit(i int, field string, j *model.Job) {
+	if j == nil {
+		g.refuse(field, "", "is missing")
+		return
+	}
+	if !g.take(checkFields(field, *j)) || !g.take(checkRuntime(field, *j)) {
+		return
+	}
+	team, ok := g.config.Team(j.Team)
+	if !ok {
+		g.refuse(field+".team", j.Team, "is not a team")
+		return
+	}
+	if _, held := g.data.jobs.get(j.ID); held {
+		g.refuse(field+".id", j.ID, "is the id of a job that exists")
+		return
+	}
+	if !g.once(i, field+".id", "job "+j.ID) || !g.take(g.checkDemand(field, *j, team)) {
+		return
+	}
+	g.joined[j.Team] = i
+	g.submits = append(g.submits, *j)
+	g.change("job "+j.ID, "", string(model.JobQueued)+" "+j.Shape.String()+" for "+j.Team)
+}
+
+// checkDemand refuses a job that could never run: too late, above its team's
+// quota, or in a shape that the fleet can't hold.
+func (g *draft) checkDemand(field string, j model.Job, team model.Team) []model.Refusal {
+	if !j.Deadline.IsZero() && !j.Deadline.After(g.now) {
+		return []model.Refusal{refuse(field+".deadline", j.Deadline.UTC(), "has passed")}
+	}
+	if n := j.Shape.TotalAccels(); team.Quota > 0 && n > team.Quota {
+		why := fmt.Sprintf("is more accelerators than the quota of team %q, %d", team.Name, team.Quota)
+		return []model.Refusal{refuse(field+".shape", n, why)}
+	}
+	return g.data.checkShape(field+".shape", j.Shape)
+}
+
+// checkRuntime refuses a job that comes with what only the system sets.
+func checkRuntime(field string, j model.Job) []model.Refusal {
+	const why = "is set by the system"
+	switch {
+	case j.State != "":
+		return []model.Refusal{refuse(field+".state", j.State, why)}
+	case j.Epoch != 0:
+		return []model.Refusal{refuse(field+".epoch", j.Epoch, why)}
+	case len(j.Members) > 0:
+		return []model.Refusal{refuse(field+".members", len(j.Members), why)}
+	case j.Attempts != 0:
+		return []model.Refusal{refuse(field+".attempts", j.Attempts, why)}
+	case j.Borrowed:
+		return []model.Refusal{refuse(field+".borrowed", j.Borrowed, why)}
+	case j.Reason != "":
+		return []model.Refusal{refuse(field+".reason", j.Reason, why)}
+	case !j.Submitted.IsZero() || !j.Started.IsZero() || !j.Ended.IsZero():
+		return []model.Refusal{{Field: field + ".submitted", Reason: why + ", as are started and ended"}}
+	}
+	return nil
+}
+
+// cancel stages the cancellation of a job.
+func (g *draft) cancel(i int, field, id string) {
+	j, ok := g.data.jobs.get(id)
+	if !ok {
+		g.refuse(field, id, "is not a job")
+		return
+	}
+	if j.State.Ended() {
+		g.refuse(field, id, "has ended: "+string(j.State))
+		return
+	}
+	if !g.once(i, field, "job "+id) {
+		return
+	}
+	g.cancels = append(g.cancels, id)
+	g.change("job "+id, string(j.State), string(model.JobCancelled))
+}
+
+// mark stages the cordon, drain or uncordon of the workers in a scope.
+func (g *draft) mark(i int, field string, op model.Op) {
+	if op.Scope != model.NearWorker && op.Scope != model.NearRack && op.Scope != model.NearDomain {
+		g.refuse(field+".scope", op.Scope, "must be one of: worker rack domain")
+		return
+	}
+	names := g.data.scope(op.Scope, op.Name)
+	if len(names) == 0 {
+		g.refuse(field+".name", op.Name, "is not a listed "+string(op.Scope))
+		return
+	}
+	m := map[model.OpKind]Mark{
+		model.OpCordon: MarkCordon, model.OpDrain: MarkDrain, model.OpUncordon: MarkUncordon,
+	}[op.Kind]
+	for _, name := range names {
+		if !g.once(i, field+".name", "worker "+name) {
+			return
+		}
+		g.marks = append(g.marks, MarkWorker{Name: name, Mark: m})
+	}
+	g.change(string(op.Scope)+" "+op.Name, "", fmt.Sprintf("%s (%d workers)", m, len(names)))
+}
+
+// scope returns the names of the workers in a scope.
+func (d *data) scope(near model.Near, name string) []string {
+	if near == model.NearWorker {
+		if w, ok := d.workers.get(name); ok {
+			return []string{w.Name}
+		}
+		return nil
+	}
+	var names []string
+	for _, w := range d.workers.all() {
+		if (near == model.NearRack && w.Rack == name) || (near == model.NearDomain && w.Domain == name) {
+			names = append(names, w.Name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/state/state.go
@@ -0,0 +1,96 @@
+package state
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// State is the state machine. It is safe for concurrent use.
+type State struct {
+	mu   sync.Mutex
+	data *data
+	view *View // of data as it stands; nil once data has changed
+}
+
+// New returns an empty state machine.
+func New() *State { return &State{data: newData()} }
+
+// Apply carries out the command at a log index and returns a Result. A command
+// that fails changes nothing but the term and the index.
+func (s *State) Apply(index uint64, cmd []byte) any {
+	c, err := Decode(cmd)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if index <= s.data.index {
+		err = errors.Wrapf(ErrApplied, "index %d, applied up to %d", index, s.data.index)
+		return Result{Index: index, Err: err}
+	}
+	s.view = nil
+	s.data.index = index
+	if err != nil {
+		return Result{Index: index, Err: err}
+	}
+	r := s.data.apply(c)
+	r.Index = index
+	return r
+}
+
+// View returns the state as it stands, for reading without locks.
+func (s *State) View() View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.view == nil {
+		s.view = &View{data: s.data.clone()}
+	}
+	return *s.view
+}
+
+// apply dispatches one command.
+func (d *data) apply(c Command) Result {
+	if c.Term < d.term {
+		return failed(errors.Wrapf(ErrFenced, "term %d, current %d", c.Term, d.term))
+	}
+	d.term = c.Term
+	d.now = c.Now.UTC()
+	switch {
+	case c.Lead != nil:
+		return Result{}
+	case c.Plan != nil:
+		return d.planIntent(*c.Plan)
+	case c.Confirm != nil:
+		return d.confirmPlan(*c.Confirm)
+	case c.Workers != nil:
+		return d.setWorkers(*c.Workers)
+	case c.Mark != nil:
+		return d.markWorker(*c.Mark)
+	case c.Claim != nil:
+		return d.claimRequest(*c.Claim)
+	case c.Settle != nil:
+		return d.settleClaim(*c.Settle)
+	case c.Expire != nil:
+		return d.expire(*c.Expire)
+	}
+	return d.applyJob(c)
+}
+
+// applyJob dispatches the commands on jobs.
+func (d *data) applyJob(c Command) Result {
+	switch {
+	case c.Place != nil:
+		return d.placeJob(*c.Place)
+	case c.Start != nil:
+		return d.startJob(*c.Start)
+	case c.Report != nil:
+		return d.report(*c.Report)
+	case c.Stop != nil:
+		return d.stopJob(*c.Stop)
+	case c.End != nil:
+		return d.endJob(*c.End)
+	}
+	return failed(ErrBadCommand)
+}
+
+// later returns the time by which a record made now may be dropped.
+func (d *data) later(keep time.Duration) time.Time { return d.now.Add(keep) }
--- /dev/null
+++ b/internal/state/view.go
@@ -0,0 +1,116 @@
+package state
+
+import (
+	"iter"
+
+	"github.com/knapweedlug/knapweedlug/internal/conf"
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+// View is the state at one log index. It is immutable and needs no locks.
+// What its methods return must not be changed.
+type View struct {
+	data *data
+}
+
+// Index returns the log index of the last command taken in.
+func (v View) Index() uint64 { return v.data.index }
+
+// Term returns the highest leader's term seen.
+func (v View) Term() uint64 { return v.data.term }
+
+// Fleet returns the log index of the last change that took capacity away: a
+// placement, a worker lost or taken out, a change of guarantees. A decision
+// made on this view names it as Seen.
+func (v View) Fleet() uint64 { return v.data.fleet }
+
+// Config returns the configuration in force.
+func (v View) Config() conf.Config { return v.data.config }
+
+// Revision returns the configuration's revision.
+func (v View) Revision() uint64 { return v.data.config.Revision() }
+
+// Worker returns the worker of that name.
+func (v View) Worker(name string) (Worker, bool) { return deref(v.data.workers.get(name)) }
+
+// Workers yields every worker, ordered by name.
+func (v View) Workers() iter.Seq[*Worker] { return values(v.data.workers) }
+
+// Job returns the job of that id.
+func (v View) Job(id string) (Job, bool) { return deref(v.data.jobs.get(id)) }
+
+// Jobs yields every job held, ended ones included, ordered by id.
+func (v View) Jobs() iter.Seq[*Job] { return values(v.data.jobs) }
+
+// LiveJobs yields the jobs that haven't ended, ordered by id.
+func (v View) LiveJobs() iter.Seq[*Job] {
+	return func(yield func(*Job) bool) {
+		for id := range v.data.open.all() {
+			j, _ := v.data.jobs.get(id)
+			if !yield(j) {
+				return
+			}
+		}
+	}
+}
+
+// Plan returns the plan of that id.
+func (v View) Plan(id string) (model.Plan, bool) {
+	rec, ok := v.data.plans.get(id)
+	if !ok {
+		return model.Plan{}, false
+	}
+	return rec.Plan, true
+}
+
+// PlanOf returns the plan that answers an operator's intent.
+func (v View) PlanOf(operator, intent string) (model.Plan, bool) {
+	id, ok := v.data.intents.get(intentKey(operator, intent))
+	if !ok {
+		return model.Plan{}, false
+	}
+	return v.Plan(id)
+}
+
+// Claim returns the claim on a team's request key.
+func (v View) Claim(team, key string) (Claim, bool) {
+	return deref(v.data.claims.get(claimKey(team, key)))
+}
+
+// Counts says how much the state holds.
+type Counts struct {
+	Revisions int `json:"revisions"`
+	Workers   int `json:"workers"`
+	Jobs      int `json:"jobs"`
+	Live      int `json:"live"` // jobs that haven't ended
+	Plans     int `json:"plans"`
+	Claims    int `json:"claims"`
+	Due       int `json:"due"` // records that have a deadline
+}
+
+// Counts returns how much the state holds.
+func (v View) Counts() Counts {
+	d := v.data
+	return Counts{
+		Revisions: d.history.size(), Workers: d.workers.size(), Jobs: d.jobs.size(),
+		Live: d.open.size(), Plans: d.plans.size(), Claims: d.claims.size(), Due: d.due.size(),
+	}
+}
+
+func deref[T any](p *T, ok bool) (T, bool) {
+	if !ok {
+		var zero T
+		return zero, false
+	}
+	return *p, true
+}
+
+func values[V any](t table[string, V]) iter.Seq[V] {
+	return func(yield func(V) bool) {
+		for _, v := range t.all() {
+			if !yield(v) {
+				return
+			}
+		}
+	}
+}
--- a/pkg/model/job.go
+++ b/pkg/model/job.go
@@ -39,15 +39,15 @@
 
 // Job is a gang of one or more members that runs whole or not at all.
 type Job struct {
-	ID         string    `json:"id"`
-	Team       string    `json:"team"`
+	ID         string    `json:"id" validate:"label"`
+	Team       string    `json:"team" validate:"required,max=128"`
 	Shape      Shape     `json:"shape"`
-	Urgency    Urgency   `json:"urgency"`
-	Command    string    `json:"command"`
-	Deadline   time.Time `json:"deadline,omitzero"` // when it must have ended; zero means no deadline
-	EstimateMs int64     `json:"estimatems"`        // declared run time at speed 1.0, in milliseconds
-	Stoppable  bool      `json:"stoppable"`         // may be checkpointed and stopped for a reclaim
-	Idempotent bool      `json:"idempotent"`        // may be started again after an unknown outcome
+	Urgency    Urgency   `json:"urgency" validate:"omitempty,oneof=urgent normal low"`
+	Command    string    `json:"command" validate:"required,max=65536"`
+	Deadline   time.Time `json:"deadline,omitzero"`           // when it must have ended; zero means no deadline
+	EstimateMs int64     `json:"estimatems" validate:"min=0"` // declared run time at speed 1.0, in milliseconds
+	Stoppable  bool      `json:"stoppable"`                   // may be checkpointed and stopped for a reclaim
+	Idempotent bool      `json:"idempotent"`                  // may be started again after an unknown outcome
 
 	State     JobState  `json:"state,omitempty"`
 	Reason    string    `json:"reason,omitempty"` // why it waits, failed or was stopped
--- a/pkg/model/shape.go
+++ b/pkg/model/shape.go
@@ -19,12 +19,12 @@
 // Shape is what a gang needs: Members equal parts, each with its own cores,
 // memory and accelerators on one worker.
 type Shape struct {
-	Members int    `json:"members"`        // 1 to MaxMembers
-	Cores   int    `json:"cores"`          // cores per member
-	Memory  int64  `json:"memory"`         // bytes per member
-	Accels  int    `json:"accels"`         // accelerators per member
-	Near    Near   `json:"near"`           // how close the members must be
-	Kind    string `json:"kind,omitempty"` // kind of accelerator; empty means any
+	Members int    `json:"members" validate:"min=1,max=512"`             // 1 to MaxMembers
+	Cores   int    `json:"cores" validate:"min=1,max=4096"`              // cores per member
+	Memory  int64  `json:"memory" validate:"min=1,max=17592186044416"`   // bytes per member
+	Accels  int    `json:"accels" validate:"min=0,max=1024"`             // accelerators per member
+	Near    Near   `json:"near" validate:"oneof=worker rack domain any"` // how close the members must be
+	Kind    string `json:"kind,omitempty" validate:"max=64"`             // kind of accelerator; empty means any
 }
 
 // TotalAccels returns the accelerators that the whole shape needs.
@@ -38,5 +38,5 @@
 // Guarantee is a shape that a team may claim at any instant, Count times over.
 type Guarantee struct {
 	Shape Shape `json:"shape"`
-	Count int   `json:"count"`
+	Count int   `json:"count" validate:"min=1,max=100000"`
 }
--- a/pkg/model/worker.go
+++ b/pkg/model/worker.go
@@ -14,15 +14,15 @@
 
 // Worker is one host of the fleet, as the platform describes it.
 type Worker struct {
-	Name   string      `json:"name"`
-	Rack   string      `json:"rack"`
-	Domain string      `json:"domain"` // failure domain
-	Region string      `json:"region"`
-	Cores  int         `json:"cores"`
-	Memory int64       `json:"memory"` // bytes
-	Accels int         `json:"accels"`
-	Kind   string      `json:"kind"`  // kind of its accelerators
-	Speed  float64     `json:"speed"` // relative to 1.0, the fleet's reference
+	Name   string      `json:"name" validate:"label"`
+	Rack   string      `json:"rack" validate:"label"`
+	Domain string      `json:"domain" validate:"label"` // failure domain
+	Region string      `json:"region" validate:"label"`
+	Cores  int         `json:"cores" validate:"min=1,max=4096"`
+	Memory int64       `json:"memory" validate:"min=1,max=17592186044416"` // bytes
+	Accels int         `json:"accels" validate:"min=0,max=1024"`
+	Kind   string      `json:"kind" validate:"max=64"`         // kind of its accelerators
+	Speed  float64     `json:"speed" validate:"gt=0,lte=1000"` // relative to 1.0, the fleet's reference
 	State  WorkerState `json:"state"`
 }
 
