--- a/internal/agent/grants.go
+++ b/internal/agent/grants.go
@@ -87,6 +87,15 @@
 	g.send(g.split.Drop(m.id, g.clock.Now()))
 }
 
+// broadcast sends one event to every entry.
+func (g *grants) broadcast(ev *wire.AgentEvent) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range g.members {
+		g.push(m, ev)
+	}
+}
+
 func (g *grants) demand(m *member, d admit.Demand) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -143,6 +152,10 @@
 	} else {
 		ev = g.revokeEvent(steps)
 	}
+	g.push(m, ev)
+}
+
+func (g *grants) push(m *member, ev *wire.AgentEvent) {
 	select {
 	case m.events <- ev:
 	default:
--- /dev/null
+++ b/internal/agent/sync.go
@@ -0,0 +1,41 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/knapweedlug/knapweedlug/internal/poll"
+	"github.com/knapweedlug/knapweedlug/internal/wire"
+)
+
+// Request implements poll.Node.
+func (a *Agent) Request() *wire.SyncRequest {
+	ann := a.server.current()
+	return &wire.SyncRequest{
+		Revision: a.conf.Revision(),
+		Tasks:    a.tasks.version(),
+		Worker:   a.cfg.Worker,
+		State:    string(a.offered()),
+		Fresh:    a.conf.Fresh(a.env.Clock.Now()),
+		Agents: []*wire.Status{{
+			Agent:   a.env.Node.Name,
+			Service: ann.Service,
+			Slots:   uint32(ann.Slots),
+			Busy:    uint32(a.server.running()),
+		}},
+	}
+}
+
+// Reply implements poll.Node.
+func (a *Agent) Reply(rep *wire.SyncReply, deadline time.Time) error {
+	if err := poll.TakeConfig(a.conf, rep, deadline, a.env.Log); err != nil {
+		return err
+	}
+	if a.conf.Fresh(a.env.Clock.Now()) {
+		a.tasks.update(rep, deadline)
+	}
+	a.mu.Lock()
+	a.asked = rep.Drain
+	a.mu.Unlock()
+	a.changed()
+	return nil
+}
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/knapweedlug/knapweedlug/internal/admit"
 	"github.com/knapweedlug/knapweedlug/internal/wire"
 	"github.com/knapweedlug/knapweedlug/pkg/client"
 )
@@ -55,10 +56,24 @@
 	defer run.finish()
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	stop := a.watchLength(&work)
+	defer stop()
 	_ = st.SetDeadline(deadline.Add(settleTimeout))
 	return run.serve(ctx, cancel)
 }
 
+// watchLength accounts a short request as long once it has run for longer than
+// its service allows a short one.
+func (a *Agent) watchLength(work *wire.Work) (stop func()) {
+	svc, ok := a.conf.Config().Service(work.Service)
+	if !ok || !work.Short || svc.ShortMs <= 0 {
+		return func() {}
+	}
+	id := work.Credit
+	t := time.AfterFunc(time.Duration(svc.ShortMs)*time.Millisecond, func() { a.grants.outlive(id) })
+	return func() { t.Stop() }
+}
+
 // take is the last check before work starts. It uses up the credit, so that a
 // late copy of the same request can't start.
 func (a *Agent) take(entry string, work *wire.Work) (code string) {
@@ -79,13 +94,20 @@
 	if a.server.current().Service != work.Service {
 		return codeNoServer
 	}
-	if !a.grants.take(entry, work.Credit, work.Short) {
+	if !a.grants.take(entry, work.Credit, classOf(work)) {
 		return codeCredit
 	}
 	a.server.began()
 	return ""
 }
 
+func classOf(work *wire.Work) admit.Class {
+	if work.Short {
+		return admit.Short
+	}
+	return admit.Long
+}
+
 func notRun(code string) *wire.Answer {
 	return &wire.Answer{Outcome: string(client.OutcomeNotRun), Code: code}
 }
--- /dev/null
+++ b/internal/entry/agents.go
@@ -0,0 +1,231 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/knapweedlug/knapweedlug/internal/admit"
+	"github.com/knapweedlug/knapweedlug/internal/route"
+	"github.com/knapweedlug/knapweedlug/internal/wire"
+)
+
+// demandPause is the least time between two reports of demand to one agent.
+const demandPause = 2 * time.Millisecond
+
+// stateReady is the state of an agent that takes work.
+const stateReady = "ready"
+
+// agent is one connected agent with the backend server beside it.
+type agent struct {
+	name    string
+	sess    *wire.Session
+	service string
+	server  string
+	slots   int
+	state   string
+	wake    chan struct{}
+}
+
+// poke makes the agent hear of the demand soon.
+func (a *agent) poke() {
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+// handleGrant serves an agent's grant stream for as long as it lasts.
+func (e *Entry) handleGrant(ctx context.Context, _ *wire.Call, st *wire.Stream) error {
+	sess := e.session(st.Peer().Name)
+	if sess == nil {
+		return nil
+	}
+	_ = st.SetReadDeadline(time.Time{})
+	a := &agent{name: st.Peer().Name, sess: sess, wake: make(chan struct{}, 1)}
+	e.desk.join(a)
+	defer e.desk.leave(a)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, st.Reset)
+	defer stop()
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		defer cancel()
+		return e.readEvents(a, st)
+	})
+	g.Go(func() error {
+		defer cancel()
+		return e.sendDemand(ctx, a, st)
+	})
+	return g.Wait()
+}
+
+func (e *Entry) readEvents(a *agent, st *wire.Stream) error {
+	for {
+		var ev wire.AgentEvent
+		if err := st.Recv(&ev); err != nil {
+			return err
+		}
+		switch x := ev.Event.(type) {
+		case *wire.AgentEvent_Announce:
+			e.env.Log.Info("agent announced", zap.String("agent", a.name), zap.String("service", x.Announce.Service),
+				zap.String("server", x.Announce.Server), zap.String("state", x.Announce.State))
+			e.desk.announced(a, x.Announce)
+		case *wire.AgentEvent_Grant:
+			e.desk.granted(a, x.Grant.Credits)
+		case *wire.AgentEvent_Revoke:
+			e.desk.revoked(a, x.Revoke.Credits)
+		}
+	}
+}
+
+// sendDemand reports the demand whenever it may have changed.
+func (e *Entry) sendDemand(ctx context.Context, a *agent, st *wire.Stream) error {
+	var last admit.Demand
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-a.wake:
+		}
+		d := e.desk.demandFor(a)
+		if d == last {
+			continue
+		}
+		last = d
+		if err := st.Send(demandMessage(d)); err != nil {
+			return err
+		}
+		time.Sleep(demandPause)
+	}
+}
+
+func demandMessage(d admit.Demand) *wire.Demand {
+	return &wire.Demand{
+		Guaranteed: countMessage(d.Guaranteed),
+		Urgent:     countMessage(d.Urgent),
+		Borrowed:   countMessage(d.Borrowed),
+	}
+}
+
+func countMessage(c admit.Count) *wire.Count {
+	return &wire.Count{Short: uint32(c.Short), Long: uint32(c.Long)}
+}
+
+// join adds an agent. One that connects anew takes the place of its old self.
+func (d *desk) join(a *agent) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if old := d.agents[a.name]; old != nil {
+		d.drop(old)
+	}
+	d.agents[a.name] = a
+}
+
+func (d *desk) leave(a *agent) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.agents[a.name] == a {
+		d.drop(a)
+	}
+}
+
+func (d *desk) drop(a *agent) {
+	delete(d.agents, a.name)
+	if a.service != "" {
+		d.picker(a.service).Remove(a.name)
+	}
+	d.fleet()
+}
+
+func (d *desk) announced(a *agent, ann *wire.Announce) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.agents[a.name] != a {
+		return
+	}
+	if a.service != "" && a.service != ann.Service {
+		d.picker(a.service).Remove(a.name)
+	}
+	a.service, a.server, a.slots, a.state = ann.Service, ann.Server, int(ann.Slots), ann.State
+	if a.service == "" {
+		return
+	}
+	p := d.picker(a.service)
+	p.Add(a.name)
+	if a.state != stateReady {
+		p.Drain(a.name)
+	}
+	d.fleet()
+	a.poke()
+}
+
+func (d *desk) granted(a *agent, credits []*wire.Credit) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.agents[a.name] != a || a.service == "" {
+		return
+	}
+	p := d.picker(a.service)
+	for _, c := range credits {
+		p.Grant(creditOf(a, c))
+	}
+	d.match(a.service)
+}
+
+func (d *desk) revoked(a *agent, credits []*wire.Credit) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.agents[a.name] != a || a.service == "" {
+		return
+	}
+	p := d.picker(a.service)
+	for _, c := range credits {
+		p.Revoke(creditOf(a, c))
+	}
+}
+
+func creditOf(a *agent, c *wire.Credit) route.Credit {
+	class := admit.AnySlot
+	if c.Short {
+		class = admit.ShortSlot
+	}
+	return route.Credit{Server: a.name, ID: c.Id, Class: class}
+}
+
+func (d *desk) demandFor(a *agent) admit.Demand {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if a.service == "" {
+		return admit.Demand{}
+	}
+	return d.queue.Demand(a.service)
+}
+
+// agentDump is one agent for a dump and for listings.
+type agentDump struct {
+	Agent   string `json:"agent"`
+	Service string `json:"service"`
+	Server  string `json:"server"`
+	Slots   int    `json:"slots"`
+	State   string `json:"state"`
+	Addr    string `json:"addr"`
+}
+
+func (d *desk) agentList() []agentDump {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make([]agentDump, 0, len(d.agents))
+	for _, a := range d.agents {
+		out = append(out, agentDump{
+			Agent: a.name, Service: a.service, Server: a.server, Slots: a.slots, State: a.state, Addr: a.sess.Peer().Addr,
+		})
+	}
+	slices.SortFunc(out, func(x, y agentDump) int { return strings.Compare(x.Agent, y.Agent) })
+	return out
+}
--- /dev/null
+++ b/internal/entry/call.go
@@ -0,0 +1,160 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/knapweedlug/knapweedlug/internal/admit"
+	"github.com/knapweedlug/knapweedlug/internal/wire"
+	"github.com/knapweedlug/knapweedlug/pkg/client"
+)
+
+const (
+	retryShare   = admit.RetryShare
+	retryBurst   = 20
+	maxAttempts  = 32 // the retry budget and the deadline are the usual bounds
+	defaultLimit = time.Minute
+)
+
+// handleCall serves one caller's request from its arrival to its answer.
+func (e *Entry) handleCall(w http.ResponseWriter, r *http.Request) {
+	now := e.env.Clock.Now()
+	if code := e.closed(now); code != "" {
+		e.refuse(w, r, &fault{status: http.StatusServiceUnavailable, code: code, field: "entry", text: "takes no requests now"})
+		return
+	}
+	team, ok := e.callers().team(r)
+	if !ok {
+		e.refuse(w, r, &fault{status: http.StatusUnauthorized, code: client.CodeUnauthorized, field: "Authorization", text: "no team has this key"})
+		return
+	}
+	o, err := e.readOrder(w, r, team, now)
+	if err != nil {
+		e.refuse(w, r, err)
+		return
+	}
+	e.began()
+	defer e.ended()
+	ctx, cancel := context.WithDeadline(r.Context(), o.deadline)
+	defer cancel()
+	if o.Idempotent {
+		e.serve(ctx, w, o)
+		return
+	}
+	e.serveClaimed(ctx, w, o)
+}
+
+// closed returns the code with which every request is refused now, if any.
+func (e *Entry) closed(now time.Time) client.Code {
+	switch {
+	case e.draining.Load():
+		return client.CodeDraining
+	case !e.conf.Fresh(now):
+		return client.CodeStale
+	}
+	return ""
+}
+
+// serve queues the request, sends it against a credit and passes the answer on.
+func (e *Entry) serve(ctx context.Context, w http.ResponseWriter, o *order) {
+	f := &flight{order: o, start: make(chan start, 1)}
+	if err := e.desk.push(f); err != nil {
+		e.settleNotRun(o, err)
+		e.refuse(w, nil, e.refusal(err, o))
+		return
+	}
+	for attempt := 1; ; attempt++ {
+		st, err := e.wait(ctx, f)
+		if err != nil {
+			e.settleNotRun(o, err)
+			e.refuse(w, nil, err)
+			return
+		}
+		res := e.dispatch(ctx, w, f, st)
+		if !res.again || attempt >= maxAttempts || !e.again(f, st, res) {
+			e.finish(w, o, res)
+			return
+		}
+	}
+}
+
+// again queues a request once more where that can't make it run twice.
+func (e *Entry) again(f *flight, st start, res result) bool {
+	if res.outcome == client.OutcomeNotRun {
+		return e.desk.again(f, st.agent.name)
+	}
+	if !f.order.Idempotent || !e.desk.retry() {
+		return false
+	}
+	return e.desk.push(f) == nil
+}
+
+// wait returns once the request has a credit.
+func (e *Entry) wait(ctx context.Context, f *flight) (start, error) {
+	select {
+	case st := <-f.start:
+		return e.begin(f, st)
+	case <-ctx.Done():
+	}
+	if e.desk.cancel(f) {
+		return start{}, late(f.order, "the deadline passed or the caller went away while the request was queued")
+	}
+	// The credit came at the same moment.
+	st, err := e.begin(f, <-f.start)
+	if err == nil {
+		e.desk.abandon(f, st)
+		err = late(f.order, "the deadline passed or the caller went away while the request was queued")
+	}
+	return start{}, err
+}
+
+func (e *Entry) begin(f *flight, st start) (start, error) {
+	if st.expired {
+		return st, late(f.order, "the request can't finish before its deadline any more")
+	}
+	return st, nil
+}
+
+func late(o *order, text string) error {
+	return &fault{status: http.StatusGatewayTimeout, code: client.CodeDeadline, field: "deadline", text: text + " (request " + o.ID + ")"}
+}
+
+// refusal turns a refusal by the queue into an answer for the caller.
+func (e *Entry) refusal(err error, o *order) error {
+	var ref *admit.Refusal
+	if !errors.As(err, &ref) {
+		return err
+	}
+	f := &fault{status: http.StatusBadRequest, code: client.CodeInvalid, field: ref.Field, text: ref.Error()}
+	switch {
+	case errors.Is(err, admit.ErrTooLate), errors.Is(err, admit.ErrQueueFull):
+		f.status, f.code = http.StatusTooManyRequests, client.CodeOverload
+	case errors.Is(err, admit.ErrNotAllowed):
+		f.status, f.code = http.StatusForbidden, client.CodeForbidden
+	case errors.Is(err, admit.ErrDuplicate):
+		f.status, f.code = http.StatusConflict, client.CodeConflict
+	}
+	e.env.Log.Info("request refused", zap.String("request", o.ID), zap.String("team", o.Team), zap.Error(err))
+	return &retryFault{fault: f, at: ref.RetryAt}
+}
+
+// retryFault is a refusal with the time from which a retry would be accepted.
+type retryFault struct {
+	*fault
+	at time.Time
+}
+
+// result is what one attempt came to.
+type result struct {
+	outcome client.Outcome
+	code    client.Code
+	status  int
+	headers []*wire.Header
+	body    []byte
+	again   bool // another attempt may do better
+	passed  bool // the answer has already been passed on
+}
--- /dev/null
+++ b/internal/entry/claim.go
@@ -0,0 +1,134 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/knapweedlug/knapweedlug/internal/admit"
+	"github.com/knapweedlug/knapweedlug/internal/wire"
+	"github.com/knapweedlug/knapweedlug/pkg/client"
+)
+
+const (
+	claimTimeout  = 3 * time.Second
+	settleTimeout = 5 * time.Second
+	claimPoll     = 150 * time.Millisecond
+)
+
+// serveClaimed serves a non-idempotent request: its claim is committed before
+// it is queued, so that it runs at most once whichever entry a resend reaches.
+func (e *Entry) serveClaimed(ctx context.Context, w http.ResponseWriter, o *order) {
+	if err := checkKey(o); err != nil {
+		e.refuse(w, nil, err)
+		return
+	}
+	rep, err := e.claim(ctx, o)
+	if err != nil {
+		e.refuse(w, nil, e.claimFault(err, o))
+		return
+	}
+	for rep.State == wire.ClaimRunning {
+		if !sleep(ctx, claimPoll) {
+			break
+		}
+		if next, err := e.claim(ctx, o); err == nil {
+			rep = next
+		}
+	}
+	switch rep.State {
+	case wire.ClaimGranted:
+		o.claim = rep.Epoch
+		e.serveOwned(ctx, w, o)
+	case wire.ClaimAnswer:
+		e.finish(w, o, result{outcome: client.OutcomeAnswer, status: int(rep.Status), headers: rep.Headers, body: rep.Body})
+	case wire.ClaimRunning:
+		e.finish(w, o, result{outcome: client.OutcomeUnknown, code: client.CodeRunning})
+	default:
+		e.finish(w, o, result{outcome: client.OutcomeUnknown, code: client.CodeLostAnswer})
+	}
+}
+
+// serveOwned serves a request whose claim is ours. It goes on when the caller
+// goes away, since the answer is owed to the caller's next resend.
+func (e *Entry) serveOwned(ctx context.Context, w http.ResponseWriter, o *order) {
+	own, cancel := context.WithDeadline(context.WithoutCancel(ctx), o.deadline)
+	defer cancel()
+	e.serve(own, w, o)
+}
+
+func checkKey(o *order) error {
+	switch {
+	case o.Key == "":
+		return badField(client.HeaderKey, "missing on a request that is not idempotent")
+	case len(o.Key) > admit.KeyMax:
+		return badField(client.HeaderKey, "longer than 256 bytes")
+	}
+	return nil
+}
+
+func (e *Entry) claim(ctx context.Context, o *order) (*wire.ClaimReply, error) {
+	if o.hash == nil {
+		o.hash = bodyHash(o)
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	rep := &wire.ClaimReply{}
+	err := e.poller.Call(ctx, wire.MethodClaim, &wire.ClaimRequest{
+		Team: o.Team, Service: o.Service, Key: o.Key, Hash: o.hash, Entry: e.env.Node.Name, Attempt: o.attempt,
+	}, rep)
+	return rep, err
+}
+
+// bodyHash covers all that makes a resend the same request.
+func bodyHash(o *order) []byte {
+	h := sha256.New()
+	h.Write([]byte(o.verb + " " + o.path + "\n"))
+	h.Write(o.body)
+	return h.Sum(nil)
+}
+
+// claimFault says why a claim was not granted. Without a grant nothing runs.
+func (e *Entry) claimFault(err error, o *order) error {
+	var re *wire.RemoteError
+	if errors.As(err, &re) && re.Code == wire.CodeConflict {
+		return &fault{status: http.StatusConflict, code: client.CodeKeyReused, field: client.HeaderKey, text: re.Text}
+	}
+	if errors.As(err, &re) && re.Code == wire.CodeRefused {
+		return badField(client.HeaderKey, re.Text)
+	}
+	e.env.Log.Warn("claim could not be made", zap.String("request", o.ID), zap.String("team", o.Team), zap.Error(err))
+	return &fault{status: http.StatusServiceUnavailable, code: client.CodeNoControl, field: "request", text: "no quorum of control processes took the claim"}
+}
+
+// settleNotRun frees the claim of a request that was never handed out, so that
+// a resend may run.
+func (e *Entry) settleNotRun(o *order, cause error) {
+	if o.claim == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	err := e.poller.Call(ctx, wire.MethodSettle, &wire.SettleRequest{
+		Team: o.Team, Service: o.Service, Key: o.Key, Epoch: o.claim, Outcome: string(client.OutcomeNotRun),
+	}, &wire.SettleReply{})
+	if err != nil {
+		e.env.Log.Error("claim of a request that did not run could not be freed", zap.String("request", o.ID),
+			zap.String("team", o.Team), zap.NamedError("refusal", cause), zap.Error(err))
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -32,6 +32,7 @@
 	headers  []*wire.Header
 	body     []byte
 	claim    uint64 // claim epoch of a non-idempotent request
+	attempt  string // unique to this arrival, whatever id the caller gave
 	hash     []byte
 	deadline time.Time
 }
@@ -54,7 +55,7 @@
 // readOrder reads the caller's request whole. A body that is cut short or too
 // large is refused here, so that no part of it can run.
 func (e *Entry) readOrder(w http.ResponseWriter, r *http.Request, team string, now time.Time) (*order, error) {
-	o := &order{verb: r.Method}
+	o := &order{verb: r.Method, attempt: uuid.NewString()}
 	o.Team = team
 	o.ID = r.Header.Get(client.HeaderRequest)
 	if o.ID == "" {
--- /dev/null
+++ b/internal/entry/settings.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"github.com/knapweedlug/knapweedlug/internal/kern"
+)
+
+// Settings are the entry's part of the settings file.
+type Settings struct {
+	Listen    string            `json:"listen" validate:"ipport" help:"IP:port for callers and operators, behind the platform's balancer"`
+	Agents    string            `json:"agents" validate:"ipport" help:"IP:port on which agents connect"`
+	Control   []string          `json:"control" validate:"min=1,unique,dive,ipport" help:"IP:port of each control process"`
+	Operators map[string]string `json:"operators" validate:"dive,hexkey" secret:"true" help:"hex key of each operator, by name"`
+	Queued    int               `json:"queued" validate:"min=1,max=1000000" help:"requests that one team may have queued here for one service"`
+	Conns     int               `json:"conns" validate:"min=1,max=100000" help:"callers' connections that are open at once at most"`
+	Record    string            `json:"record" help:"file that a trace of all requests is written to; empty for none"`
+}
+
+// Validate implements kern.Settings.
+func (s *Settings) Validate() []kern.Problem {
+	ps := kern.CheckStruct(s)
+	if s.Listen == s.Agents {
+		ps = append(ps, kern.Problem{Field: "agents", Value: s.Agents, Want: "another address than listen"})
+	}
+	return ps
+}
+
+type role struct{}
+
+func init() { kern.Register(role{}) }
+
+// Name implements kern.Role.
+func (role) Name() string { return RoleName }
+
+// Defaults implements kern.Role.
+func (role) Defaults() kern.Settings {
+	return &Settings{Listen: "127.0.0.1:7300", Agents: "127.0.0.1:7301", Queued: 20_000, Conns: 20_000}
+}
+
+// New implements kern.Role.
+func (role) New(env *kern.Env, s kern.Settings) (kern.Runner, error) {
+	return New(env, s.(*Settings))
+}
--- a/internal/poll/poll.go
+++ b/internal/poll/poll.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/knapweedlug/knapweedlug/internal/conf"
 	"github.com/knapweedlug/knapweedlug/internal/kern"
 	"github.com/knapweedlug/knapweedlug/internal/wire"
 )
@@ -126,3 +127,12 @@
 	case <-t.C:
 	}
 }
+
+// LeaseTerm is how long a task may run on without word from control.
+const LeaseTerm = 10 * time.Second
+
+// LeaseDeadline returns until when leases may run, given the deadline until
+// which control's answer holds. Both count from the sending of the request.
+func LeaseDeadline(vouched time.Time) time.Time {
+	return vouched.Add(LeaseTerm - conf.Bound)
+}
--- /dev/null
+++ b/internal/wire/phase.go
@@ -0,0 +1,16 @@
+package wire
+
+// Phases of a Task.
+const (
+	PhaseHold = "hold" // take a lease, start nothing
+	PhaseRun  = "run"  // start under the lease that is held
+	PhaseStop = "stop" // checkpoint, then stop
+)
+
+// States of a ClaimReply.
+const (
+	ClaimGranted = "granted" // the asker may run the request
+	ClaimRunning = "running" // another attempt may be running it
+	ClaimAnswer  = "answer"  // it ran; the answer is in the reply
+	ClaimUnknown = "unknown" // it may have run; the answer is lost
+)
