Add the kernel, knapd and the stand-ins of platform, backend server and relay

Cause: roles had an interface and nothing that runs them; the request and job paths had nothing to talk to. Ruled out: marks of cockroachdb/errors for sentinel errors. The standard errors.Is doesn't see them (TestParseHalfFile failed on it); both sentinels and causes are wrapped with %w instead. Conclusion: usable by the roles; tests of the rest follow.

--- /dev/null
+++ b/cmd/knapd/config.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/knapweedlug/knapweedlug/internal/kern"
+)
+
+const configHelp = `Print every setting with its type, its default and what it does. A dash stands for
+a setting without a default.`
+
+// newConfig returns the command that prints every setting.
+func newConfig() *cobra.Command {
+	var output string
+	cmd := &cobra.Command{
+		Use:     "config",
+		Short:   "Print every setting with its default",
+		Long:    configHelp,
+		Example: "  knapd config\n  knapd config --output json",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			list := kern.AllHelp(kern.Roles())
+			switch output {
+			case "json":
+				enc := json.NewEncoder(cmd.OutOrStdout())
+				enc.SetIndent("", "  ")
+				return enc.Encode(list)
+			case "table":
+				return kern.WriteHelp(cmd.OutOrStdout(), list)
+			default:
+				return errors.Wrapf(kern.ErrSettings, "--output %q: want table or json", output)
+			}
+		},
+	}
+	cmd.Flags().StringVarP(&output, "output", "o", "table", "table or json")
+	return cmd
+}
--- /dev/null
+++ b/internal/fakes/lease.go
@@ -0,0 +1,91 @@
+package fakes
+
+import (
+	"strings"
+	"time"
+
+	"github.com/knapweedlug/knapweedlug/internal/platf"
+)
+
+// lease is a task with how far it has come.
+type lease struct {
+	task    platf.Task
+	speed   float64       // of its worker
+	total   time.Duration // work at speed 1.0
+	done    time.Duration // work done up to since
+	saved   time.Duration // work of the last checkpoint
+	since   time.Time     // when it last began to run at its present rate
+	fails   bool          // the command fails at once
+	endless bool          // the command never ends by itself
+}
+
+// rate is the work done in a unit of time.
+func (l *lease) rate() float64 { return l.speed * l.task.Share }
+
+// settle counts the work done up to now.
+func (l *lease) settle(now time.Time) {
+	if l.task.State != platf.TaskRunning || now.Before(l.since) {
+		return
+	}
+	l.done += time.Duration(float64(now.Sub(l.since)) * l.rate())
+	l.since = now
+}
+
+// finish returns when the command ends by itself.
+func (l *lease) finish() (time.Time, bool) {
+	if l.task.State != platf.TaskRunning || (l.endless && !l.fails) {
+		return time.Time{}, false
+	}
+	if l.fails {
+		return l.since, true
+	}
+	return l.since.Add(time.Duration(float64(l.total-l.done) / l.rate())), true
+}
+
+// advance moves the lease to now and reports whether it ended on the way.
+func (l *lease) advance(now time.Time) bool {
+	if !l.task.State.Live() {
+		return false
+	}
+	end, ends := l.finish()
+	expired := !now.Before(l.task.Deadline)
+	finished := ends && !end.After(now)
+	if finished && (!expired || !l.task.Deadline.Before(end)) {
+		l.end(end, platf.TaskDone, "")
+		if l.fails {
+			l.task.State, l.task.Reason = platf.TaskFailed, "command failed"
+		}
+		return true
+	}
+	if expired {
+		l.end(l.task.Deadline, platf.TaskExpired, "lease not renewed")
+		return true
+	}
+	return false
+}
+
+// end closes the lease at a time.
+func (l *lease) end(at time.Time, state platf.TaskState, reason string) {
+	l.settle(at)
+	l.task.State, l.task.Reason, l.task.Ended = state, reason, at
+}
+
+// command understands "sleep 2s", "fail" and "forever". Anything else sleeps for
+// no time.
+func (l *lease) command(text string) error {
+	l.task.Command = text
+	verb, arg, _ := strings.Cut(strings.TrimSpace(text), " ")
+	switch verb {
+	case "fail":
+		l.fails = true
+	case "forever":
+		l.endless = true
+	case "sleep":
+		d, err := time.ParseDuration(strings.TrimSpace(arg))
+		if err != nil {
+			return err
+		}
+		l.total = d
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fakes/relay.go
@@ -0,0 +1,189 @@
+package fakes
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+// Mode is what a relay does with the bytes of one direction.
+type Mode string
+
+// The modes of a relay.
+const (
+	ModePass   Mode = "pass"   // bytes go through, after the delay
+	ModeSilent Mode = "silent" // connections open and stay open, nothing goes through
+	ModeRefuse Mode = "refuse" // connections are reset, present ones too
+)
+
+// valid reports whether m is a mode.
+func (m Mode) valid() bool { return slices.Contains([]Mode{ModePass, ModeSilent, ModeRefuse}, m) }
+
+// RelayState is what a relay does at present.
+type RelayState struct {
+	Up      Mode  `json:"up"`      // towards the target
+	Down    Mode  `json:"down"`    // from the target
+	DelayMs int64 `json:"delayms"` // milliseconds added in each direction
+}
+
+const (
+	relayBuffer = 32 << 10 // bytes read at once
+	relayQueue  = 64       // chunks on their way in one direction
+	relayDial   = 2 * time.Second
+)
+
+// Relay passes TCP connections on to a target. What it does with them can be
+// changed at any time. Bytes that meet a silent direction are held and go
+// through once it passes again, as TCP would send them again after a partition.
+type Relay struct {
+	target string
+
+	mu      sync.Mutex
+	state   RelayState
+	changed chan struct{} // closed when state changes
+	links   map[*link]struct{}
+}
+
+// NewRelay returns a relay to target that passes everything.
+func NewRelay(target string) *Relay {
+	return &Relay{
+		target:  target,
+		state:   RelayState{Up: ModePass, Down: ModePass},
+		changed: make(chan struct{}),
+		links:   map[*link]struct{}{},
+	}
+}
+
+// Set changes what the relay does with present and new connections.
+func (r *Relay) Set(s RelayState) error {
+	if !s.Up.valid() || !s.Down.valid() || s.DelayMs < 0 {
+		return errors.Newf("relay: up %q, down %q, delay %d: want pass, silent or refuse, and no negative delay", s.Up, s.Down, s.DelayMs)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state = s
+	close(r.changed)
+	r.changed = make(chan struct{})
+	if s.refuses() {
+		for l := range r.links {
+			l.reset()
+		}
+	}
+	return nil
+}
+
+// SetMode changes both directions and leaves the delay.
+func (r *Relay) SetMode(m Mode) error {
+	s := r.State()
+	s.Up, s.Down = m, m
+	return r.Set(s)
+}
+
+// State returns what the relay does at present.
+func (r *Relay) State() RelayState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state
+}
+
+func (s RelayState) refuses() bool { return s.Up == ModeRefuse || s.Down == ModeRefuse }
+
+// SilencePresent makes the present connections silent for good, while new ones
+// pass: something between the two ends has lost track of them.
+func (r *Relay) SilencePresent() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for l := range r.links {
+		l.forgotten.Store(true)
+	}
+}
+
+// Conns returns the number of open connections.
+func (r *Relay) Conns() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.links)
+}
+
+// Serve relays connections until ctx is done, then closes them.
+func (r *Relay) Serve(ctx context.Context, ln net.Listener) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		<-ctx.Done()
+		_ = ln.Close()
+		return nil
+	})
+	g.Go(func() error {
+		for {
+			c, err := ln.Accept()
+			if ctx.Err() != nil {
+				return nil
+			}
+			if err != nil {
+				return errors.Wrap(err, "relay")
+			}
+			g.Go(func() error {
+				r.relay(ctx, c)
+				return nil
+			})
+		}
+	})
+	return g.Wait()
+}
+
+// relay carries one connection until either end closes it.
+func (r *Relay) relay(ctx context.Context, in net.Conn) {
+	if r.State().refuses() {
+		resetConn(in)
+		return
+	}
+	d := net.Dialer{Timeout: relayDial}
+	out, err := d.DialContext(ctx, "tcp", r.target)
+	if err != nil {
+		resetConn(in)
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	l := &link{relay: r, in: in, out: out, cancel: cancel}
+	r.mu.Lock()
+	refuses := r.state.refuses() // it may have changed since the dial
+	r.links[l] = struct{}{}
+	r.mu.Unlock()
+	if refuses {
+		l.reset()
+	}
+	l.carry(ctx)
+	r.mu.Lock()
+	delete(r.links, l)
+	r.mu.Unlock()
+}
+
+// await returns once the chosen direction passes.
+func (r *Relay) await(ctx context.Context, pick func(RelayState) Mode) error {
+	for {
+		r.mu.Lock()
+		s, changed := r.state, r.changed
+		r.mu.Unlock()
+		if pick(s) == ModePass {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// resetConn closes a connection so that the other end sees a reset.
+func resetConn(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
--- /dev/null
+++ b/internal/kern/config.go
@@ -0,0 +1,88 @@
+package kern
+
+import (
+	"encoding/hex"
+	"maps"
+	"slices"
+)
+
+// Config is a whole settings file.
+type Config struct {
+	Cluster string         `json:"cluster" help:"name of the cluster; processes of another cluster are refused" validate:"required,name"`
+	Node    NodeConfig     `json:"node"    help:"who this process is"`
+	Admin   AdminConfig    `json:"admin"   help:"the operators' HTTP listener of this process"`
+	Log     LogConfig      `json:"log"     help:"JSON-line log on standard error"`
+	Drain   DrainConfig    `json:"drain"   help:"graceful stop on SIGTERM, SIGINT or POST /drain"`
+	Keys    KeysConfig     `json:"keys"    help:"shared keys, each in hex"`
+	Roles   map[string]any `json:"roles"   help:"roles of this process, each with its own settings" validate:"min=1"`
+
+	settings map[string]Settings
+}
+
+// NodeConfig says who a process is.
+type NodeConfig struct {
+	Name   string `json:"name"   help:"name of this process, unique in the cluster" validate:"required,name"`
+	Domain string `json:"domain" help:"failure domain of this host" validate:"required,name"`
+	Region string `json:"region" help:"region of this host" validate:"required,name"`
+}
+
+// AdminConfig sets the operators' listener of one process.
+type AdminConfig struct {
+	Listen string `json:"listen" help:"IP address and port for /metrics, /dump, /log/level, /drain and /healthz; port 0 takes a free one" validate:"required,ipport"`
+}
+
+// LogConfig sets the log.
+type LogConfig struct {
+	Level string `json:"level" help:"lowest level written: debug, info, warn or error; changed at run time with knapctl loglevel" validate:"oneof=debug info warn error"`
+}
+
+// DrainConfig sets the graceful stop.
+type DrainConfig struct {
+	Seconds int `json:"seconds" help:"seconds that running work is given to finish" validate:"min=1,max=3600"`
+}
+
+// KeysConfig holds the shared keys in hex.
+type KeysConfig struct {
+	Self  string            `json:"self"  help:"this node's own key, from knapctl key derive; the admin token is derived from it" validate:"required,hexkey" secret:"true"`
+	Roles map[string]string `json:"roles" help:"master key of each role whose nodes may connect to this process" validate:"dive,hexkey" secret:"true"`
+}
+
+// DefaultConfig returns the settings that hold where a file is silent.
+func DefaultConfig() *Config {
+	return &Config{
+		Node:     NodeConfig{Domain: "local", Region: "local"},
+		Admin:    AdminConfig{Listen: "127.0.0.1:0"},
+		Log:      LogConfig{Level: "info"},
+		Drain:    DrainConfig{Seconds: 30},
+		settings: map[string]Settings{},
+	}
+}
+
+// Role returns the settings of one role, or nil if the file doesn't name it.
+func (c *Config) Role(name string) Settings { return c.settings[name] }
+
+// RoleNames returns the names of the roles in the file, in order.
+func (c *Config) RoleNames() []string { return slices.Sorted(maps.Keys(c.settings)) }
+
+// Who returns the identity of this process.
+func (c *Config) Who() Node {
+	return Node{Cluster: c.Cluster, Name: c.Node.Name, Domain: c.Node.Domain, Region: c.Node.Region}
+}
+
+// Secrets returns the keys as raw bytes. The settings must have passed Load.
+func (c *Config) Secrets() Keys {
+	k := Keys{Self: rawKey(c.Keys.Self), Role: make(map[string][]byte, len(c.Keys.Roles))}
+	for role, key := range c.Keys.Roles {
+		k.Role[role] = rawKey(key)
+	}
+	return k
+}
+
+// rawKey decodes a key that Load has checked.
+func rawKey(s string) []byte {
+	b, err := hex.DecodeString(s)
+	if err != nil {
+		return nil
+	}
+	return b
+}
--- /dev/null
+++ b/internal/kern/daemon.go
@@ -0,0 +1,258 @@
+package kern
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+)
+
+// closeWithin is how long roles are given to close once they are told to stop.
+const closeWithin = 5 * time.Second
+
+// part is one role at work.
+type part struct {
+	name string
+	run  Runner
+}
+
+// Daemon runs the roles of one settings file.
+type Daemon struct {
+	cfg     *Config
+	roles   []Role
+	clock   Clock
+	log     *zap.Logger
+	level   zap.AtomicLevel
+	started time.Time
+	stop    chan struct{}
+
+	mu       sync.Mutex
+	parts    []part
+	addr     string
+	draining bool
+}
+
+// New returns a daemon that will run the roles that cfg names and log to w.
+func New(cfg *Config, roles []Role, clock Clock, w io.Writer) *Daemon {
+	level := zap.NewAtomicLevel()
+	_ = level.UnmarshalText([]byte(cfg.Log.Level)) // Load has checked it
+	log := NewLogger(w, level).With(zap.String("node", cfg.Node.Name))
+	return &Daemon{cfg: cfg, roles: roles, clock: clock, log: log, level: level, started: clock.Now(), stop: make(chan struct{}, 1)}
+}
+
+// Run runs the registered roles that cfg names and logs to standard error. It
+// returns after ctx is done, after a signal, or when a role fails; the first two
+// drain the roles before they stop.
+func Run(ctx context.Context, cfg *Config) error {
+	d := New(cfg, Roles(), wallClock{}, os.Stderr)
+	return withSignals(ctx, d)
+}
+
+// Stop asks for a graceful stop.
+func (d *Daemon) Stop() {
+	select {
+	case d.stop <- struct{}{}:
+	default:
+	}
+}
+
+// State says whether the daemon takes work.
+func (d *Daemon) State() State {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.draining {
+		return StateDraining
+	}
+	return StateRunning
+}
+
+// Addr returns the address of the admin listener once it is open.
+func (d *Daemon) Addr() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.addr
+}
+
+// Dump returns the state of the process with that of every role.
+func (d *Daemon) Dump() Dump {
+	state := d.State()
+	d.mu.Lock()
+	parts, addr := d.parts, d.addr
+	d.mu.Unlock()
+	dump := Dump{
+		Node: d.cfg.Who(), Version: Version(), State: state, Started: d.started, Taken: d.clock.Now(),
+		Admin: addr, Roles: make(map[string]any, len(parts)),
+	}
+	for _, p := range parts {
+		dump.Roles[p.name] = p.run.Dump()
+	}
+	return dump
+}
+
+// LogDump writes the dump as one line of the log.
+func (d *Daemon) LogDump() {
+	d.log.Info("dump", zap.Any("dump", d.Dump()))
+}
+
+// Serve runs the roles until ctx is done or Stop is called, drains them, and
+// returns once all is closed. A role that fails stops the others in the same
+// way.
+func (d *Daemon) Serve(ctx context.Context) error {
+	defer d.log.Sync()
+	scope, page, closer := newMetrics(d.cfg.Who(), d.log)
+	defer closer.Close() //nolint:errcheck // nothing is left to report to
+	env := Env{Node: d.cfg.Who(), Log: d.log, Metrics: scope, Clock: d.clock, Keys: d.cfg.Secrets()}
+	if err := d.build(env); err != nil {
+		d.log.Error("start refused", zap.Error(err))
+		return err
+	}
+	ln, err := net.Listen("tcp", d.cfg.Admin.Listen)
+	if err != nil {
+		err = errors.Wrap(err, "opening admin.listen")
+		d.log.Error("start refused", zap.Error(err))
+		return err
+	}
+	d.mu.Lock()
+	d.addr = ln.Addr().String()
+	d.mu.Unlock()
+	d.log.Info("started", zap.String("admin", ln.Addr().String()), zap.Strings("roles", d.cfg.RoleNames()), zap.String("version", Version()))
+	adm := &admin{daemon: d, token: AdminToken(env.Keys.Self), metrics: page, level: d.level}
+	return d.work(ctx, adm, ln)
+}
+
+// build makes every role that the settings name.
+func (d *Daemon) build(env Env) error {
+	var parts []part
+	for _, r := range d.roles {
+		s := d.cfg.Role(r.Name())
+		if s == nil {
+			continue
+		}
+		own := env
+		own.Log = env.Log.With(zap.String("role", r.Name()))
+		own.Metrics = env.Metrics.SubScope(r.Name())
+		run, err := r.New(&own, s)
+		if err != nil {
+			return errors.Wrapf(err, "starting role %s", r.Name())
+		}
+		parts = append(parts, part{name: r.Name(), run: run})
+	}
+	d.mu.Lock()
+	d.parts = parts
+	d.mu.Unlock()
+	return nil
+}
+
+// work runs roles and admin listener, and stops them in order.
+func (d *Daemon) work(ctx context.Context, adm *admin, ln net.Listener) error {
+	// Roles outlive ctx, since they serve while they drain.
+	live, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var g errgroup.Group
+	failed := make(chan error, len(d.parts)+1)
+	watch := func(name string, run func(context.Context) error) {
+		g.Go(func() error {
+			err := run(live)
+			if live.Err() == nil {
+				failed <- errors.Wrapf(orEnded(err), "role %s", name)
+			}
+			return err
+		})
+	}
+	for _, p := range d.parts {
+		watch(p.name, p.run.Run)
+	}
+	watch("admin", func(ctx context.Context) error { return adm.serve(ctx, ln) })
+
+	cause := d.wait(ctx, failed)
+	err := errors.CombineErrors(cause, d.drain(context.WithoutCancel(ctx)))
+	cancel()
+	if late := waitWithin(&g, closeWithin); late != nil && err == nil {
+		err = late
+	}
+	d.log.Info("stopped", zap.Error(err))
+	return err
+}
+
+var errEnded = errors.New("ended by itself")
+
+func orEnded(err error) error {
+	if err == nil {
+		return errEnded
+	}
+	return err
+}
+
+// wait returns when the daemon has to stop, with the failure that is the cause.
+func (d *Daemon) wait(ctx context.Context, failed <-chan error) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-d.stop:
+		return nil
+	case err := <-failed:
+		d.log.Error("role failed", zap.Error(err))
+		return err
+	}
+}
+
+// drain asks every role to finish its work by the deadline. A second request to
+// stop cuts it short.
+func (d *Daemon) drain(ctx context.Context) error {
+	deadline := time.Now().Add(time.Duration(d.cfg.Drain.Seconds) * time.Second)
+	d.mu.Lock()
+	d.draining = true
+	d.mu.Unlock()
+	d.log.Info("draining", zap.Time("deadline", deadline))
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	var g errgroup.Group
+	for _, p := range d.parts {
+		g.Go(func() error {
+			if err := p.run.Drain(ctx); err != nil {
+				d.log.Warn("drain cut short", zap.String("role", p.name), zap.Error(err))
+				return fmt.Errorf("%w: role %s: %w", ErrDrain, p.name, err)
+			}
+			return nil
+		})
+	}
+	var watch errgroup.Group
+	done := make(chan struct{})
+	watch.Go(func() error {
+		defer close(done)
+		return g.Wait()
+	})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	case <-d.stop:
+		cancel()
+	}
+	return waitWithin(&watch, closeWithin)
+}
+
+// waitWithin waits for a group, but no longer than limit: a role that hangs must
+// not keep the process from ending.
+func waitWithin(g *errgroup.Group, limit time.Duration) error {
+	done := make(chan error, 1)
+	var outer errgroup.Group
+	outer.Go(func() error {
+		done <- g.Wait()
+		return nil
+	})
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case err := <-done:
+		return err
+	case <-timer.C:
+		return errors.Wrap(ErrDrain, "a role didn't close")
+	}
+}
--- /dev/null
+++ b/internal/kern/decode.go
@@ -0,0 +1,180 @@
+package kern
+
+import (
+	"encoding"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strings"
+)
+
+// decoder fills Go values from parsed JSON and collects every problem instead
+// of stopping at the first.
+type decoder struct {
+	problems []Problem
+}
+
+// Decode fills the struct that into points at from a JSON document and returns
+// every problem at once: unknown and repeated fields and wrong types, each with
+// its path. The error is for text that isn't JSON.
+func Decode(data []byte, into any) ([]Problem, error) {
+	root, err := parseNode(data)
+	if err != nil {
+		return nil, err
+	}
+	d := &decoder{}
+	d.fill("", root, reflect.ValueOf(into).Elem(), false)
+	return d.problems, nil
+}
+
+func (d *decoder) add(path string, n *node, secret bool, want string) {
+	d.problems = append(d.problems, Problem{Field: path, Value: n.show(secret), Want: want})
+}
+
+func (d *decoder) fill(path string, n *node, v reflect.Value, secret bool) {
+	if d.fillCustom(path, n, v, secret) {
+		return
+	}
+	switch v.Kind() {
+	case reflect.Pointer:
+		d.fillPointer(path, n, v, secret)
+	case reflect.Struct:
+		d.fillStruct(path, n, v)
+	case reflect.Map:
+		d.fillMap(path, n, v, secret)
+	case reflect.Slice:
+		d.fillSlice(path, n, v, secret)
+	case reflect.Interface:
+		if value := n.plain(); value != nil {
+			v.Set(reflect.ValueOf(value))
+		}
+	default:
+		d.fillScalar(path, n, v, secret)
+	}
+}
+
+// fillCustom handles types that decode themselves.
+func (d *decoder) fillCustom(path string, n *node, v reflect.Value, secret bool) bool {
+	if !v.CanAddr() {
+		return false
+	}
+	target := v.Addr().Interface()
+	_, isJSON := target.(json.Unmarshaler)
+	_, isText := target.(encoding.TextUnmarshaler)
+	if !isJSON && !isText {
+		return false
+	}
+	text, err := json.Marshal(n.plain())
+	if err == nil {
+		err = json.Unmarshal(text, target)
+	}
+	if err != nil {
+		d.add(path, n, secret, err.Error())
+	}
+	return true
+}
+
+func (d *decoder) fillPointer(path string, n *node, v reflect.Value, secret bool) {
+	if n.kind == nodeNull {
+		v.SetZero()
+		return
+	}
+	if v.IsNil() {
+		v.Set(reflect.New(v.Type().Elem()))
+	}
+	d.fill(path, n, v.Elem(), secret)
+}
+
+func (d *decoder) fillStruct(path string, n *node, v reflect.Value) {
+	if n.kind != nodeObject {
+		d.add(path, n, false, "an object")
+		return
+	}
+	fields := fieldsOf(v.Type())
+	seen := map[string]bool{}
+	for _, m := range n.members {
+		at := join(path, m.name)
+		f, known := find(fields, m.name)
+		switch {
+		case !known:
+			d.add(at, m.node, secretName(m.name), "no such field; known here: "+strings.Join(names(fields), ", "))
+		case seen[m.name]:
+			d.add(at, m.node, f.secret, "the field only once")
+		default:
+			seen[m.name] = true
+			d.fill(at, m.node, v.FieldByIndex(f.index), f.secret)
+		}
+	}
+}
+
+func (d *decoder) fillMap(path string, n *node, v reflect.Value, secret bool) {
+	if n.kind != nodeObject {
+		d.add(path, n, secret, "an object")
+		return
+	}
+	out := reflect.MakeMapWithSize(v.Type(), len(n.members))
+	for _, m := range n.members {
+		at := join(path, m.name)
+		key := reflect.ValueOf(m.name).Convert(v.Type().Key())
+		if out.MapIndex(key).IsValid() {
+			d.add(at, m.node, secret, "the field only once")
+			continue
+		}
+		elem := reflect.New(v.Type().Elem()).Elem()
+		d.fill(at, m.node, elem, secret)
+		out.SetMapIndex(key, elem)
+	}
+	v.Set(out)
+}
+
+func (d *decoder) fillSlice(path string, n *node, v reflect.Value, secret bool) {
+	if n.kind != nodeArray {
+		d.add(path, n, secret, "an array")
+		return
+	}
+	out := reflect.MakeSlice(v.Type(), len(n.items), len(n.items))
+	for i, item := range n.items {
+		d.fill(fmt.Sprintf("%s[%d]", path, i), item, out.Index(i), secret)
+	}
+	v.Set(out)
+}
+
+func (d *decoder) fillScalar(path string, n *node, v reflect.Value, secret bool) {
+	text, err := json.Marshal(n.scalar)
+	if err == nil && n.kind != nodeObject && n.kind != nodeArray && n.kind != nodeNull {
+		if json.Unmarshal(text, v.Addr().Interface()) == nil {
+			return
+		}
+	}
+	d.add(path, n, secret, wantKind(v.Kind()))
+}
+
+// wantKind names the JSON value that fits a kind of Go value.
+func wantKind(k reflect.Kind) string {
+	switch k {
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float32, reflect.Float64:
+		return "a number"
+	case reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
+		return "a whole number, 0 or more"
+	default:
+		return "a whole number"
+	}
+}
+
+// join adds a name to a path.
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+// secretName reports whether the name of an unknown field suggests a secret.
+func secretName(name string) bool {
+	name = strings.ToLower(name)
+	return strings.Contains(name, "key") || strings.Contains(name, "secret") || strings.Contains(name, "token")
+}
--- /dev/null
+++ b/internal/kern/field.go
@@ -0,0 +1,54 @@
+package kern
+
+import (
+	"reflect"
+	"strings"
+)
+
+// field is one setting as its struct declares it.
+type field struct {
+	name   string // in JSON
+	help   string
+	secret bool
+	index  []int
+	typ    reflect.Type
+}
+
+// fieldsOf returns the settings that a struct declares, embedded ones included.
+func fieldsOf(t reflect.Type) []field {
+	var list []field
+	for _, sf := range reflect.VisibleFields(t) {
+		name, _, _ := strings.Cut(sf.Tag.Get("json"), ",")
+		if !sf.IsExported() || name == "-" || (sf.Anonymous && name == "") {
+			continue
+		}
+		if name == "" {
+			name = sf.Name
+		}
+		list = append(list, field{
+			name:   name,
+			help:   sf.Tag.Get("help"),
+			secret: sf.Tag.Get("secret") == "true",
+			index:  sf.Index,
+			typ:    sf.Type,
+		})
+	}
+	return list
+}
+
+func find(fields []field, name string) (field, bool) {
+	for _, f := range fields {
+		if f.name == name {
+			return f, true
+		}
+	}
+	return field{}, false
+}
+
+func names(fields []field) []string {
+	list := make([]string, 0, len(fields))
+	for _, f := range fields {
+		list = append(list, f.name)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/kern/key.go
@@ -0,0 +1,22 @@
+package kern
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
+)
+
+// DeriveKey returns a node's own key, the HMAC-SHA256 of its name under its
+// role's master key. A listener that holds the master key can check every node
+// of the role, and no node can take another's name.
+func DeriveKey(master []byte, node string) []byte {
+	m := hmac.New(sha256.New, master)
+	m.Write([]byte(node))
+	return m.Sum(nil)
+}
+
+// AdminToken returns the bearer token of a process's admin listener: the
+// HMAC-SHA256 of "admin" under the process's own key, in hex.
+func AdminToken(self []byte) string {
+	return hex.EncodeToString(DeriveKey(self, "admin"))
+}
--- /dev/null
+++ b/internal/kern/metric.go
@@ -0,0 +1,37 @@
+package kern
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/uber-go/tally/v4"
+	tprom "github.com/uber-go/tally/v4/prometheus"
+	"go.uber.org/zap"
+)
+
+// reportEvery is how often tally hands its counts to the metrics page.
+const reportEvery = time.Second
+
+// newMetrics returns the root scope, the page that serves it and what closes it.
+func newMetrics(n Node, log *zap.Logger) (tally.Scope, http.Handler, io.Closer) {
+	reg := prom.NewRegistry()
+	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	reporter := tprom.NewReporter(tprom.Options{
+		Registerer:      reg,
+		Gatherer:        reg,
+		OnRegisterError: func(err error) { log.Error("metric refused", zap.Error(err)) },
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "knap",
+		Tags:                   map[string]string{"cluster": n.Cluster, "node": n.Name, "domain": n.Domain, "region": n.Region},
+		CachedReporter:         reporter,
+		Separator:              tprom.DefaultSeparator,
+		SanitizeOptions:        &tprom.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, reportEvery)
+	return scope, promhttp.HandlerFor(reg, promhttp.HandlerOpts{}), closer
+}
--- /dev/null
+++ b/internal/platf/error.go
@@ -0,0 +1,59 @@
+package platf
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Code names the reason of a refusal by the platform.
+type Code string
+
+// The codes of refusals.
+const (
+	CodeFenced      Code = "fenced"      // the epoch is lower than the job's highest, or isn't the lease's
+	CodeFull        Code = "full"        // the worker lacks the capacity
+	CodeExpired     Code = "expired"     // the lease has ended
+	CodeUnknown     Code = "unknown"     // no such worker or lease
+	CodeUnreachable Code = "unreachable" // the platform can't reach the worker
+	CodeBad         Code = "bad"         // the request is malformed
+)
+
+// Errors that callers test with errors.Is. A refusal means that nothing changed,
+// but for ErrUnreachable and ErrNoAnswer, after which the outcome is unknown.
+var (
+	ErrFenced      = errors.New("epoch is fenced")
+	ErrFull        = errors.New("worker is full")
+	ErrExpired     = errors.New("lease has ended")
+	ErrUnknown     = errors.New("unknown worker or lease")
+	ErrUnreachable = errors.New("worker is unreachable")
+	ErrBad         = errors.New("request is malformed")
+	ErrNoAnswer    = errors.New("platform gave no answer")
+)
+
+var sentinels = map[Code]error{
+	CodeFenced:      ErrFenced,
+	CodeFull:        ErrFull,
+	CodeExpired:     ErrExpired,
+	CodeUnknown:     ErrUnknown,
+	CodeUnreachable: ErrUnreachable,
+	CodeBad:         ErrBad,
+}
+
+// Refusal is the platform's reason for not doing what it was asked.
+type Refusal struct {
+	Code    Code   `json:"code"`
+	Message string `json:"message"`
+	Epoch   uint64 `json:"epoch,omitempty"` // highest epoch seen for the job
+}
+
+// Error returns the reason on one line.
+func (r *Refusal) Error() string { return fmt.Sprintf("platform: %s: %s", r.Code, r.Message) }
+
+// Is reports whether target is the sentinel error of the code.
+func (r *Refusal) Is(target error) bool { return sentinels[r.Code] == target }
+
+// ErrorBody is the body of a refusal.
+type ErrorBody struct {
+	Error *Refusal `json:"error"`
+}
