--- /dev/null
+++ b/internal/state/kit_test.go
@@ -0,0 +1,155 @@
+package state
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+// start is when every test begins.
+var start = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+
+// rig applies commands to a state machine as a single leader would.
+type rig struct {
+	t     require.TestingT
+	s     *State
+	index uint64
+	term  uint64
+	now   time.Time
+}
+
+func newRig(t require.TestingT) *rig {
+	return &rig{t: t, s: New(), term: 1, now: start}
+}
+
+func (r *rig) apply(c Command) Result {
+	c.Term = r.term
+	c.Now = r.now
+	b, err := Encode(c)
+	require.NoError(r.t, err)
+	r.index++
+	return r.s.Apply(r.index, b).(Result)
+}
+
+// must applies a command that has to succeed.
+func (r *rig) must(c Command) Result {
+	out := r.apply(c)
+	require.NoError(r.t, out.Err)
+	return out
+}
+
+func (r *rig) snapshot() []byte { return snapshotOf(r.t, r.s) }
+
+func snapshotOf(t require.TestingT, s *State) []byte {
+	write, err := s.Snapshot()
+	require.NoError(t, err)
+	var buf bytes.Buffer
+	require.NoError(t, write(&buf))
+	return buf.Bytes()
+}
+
+// restored returns a state machine read back from a snapshot of s.
+func restored(t require.TestingT, s *State) *State {
+	out := New()
+	require.NoError(t, out.Restore(bytes.NewReader(snapshotOf(t, s))))
+	return out
+}
+
+func (r *rig) plan(operator, id string, ops ...model.Op) Result {
+	return r.planAt(operator, id, 0, ops...)
+}
+
+func (r *rig) planAt(operator, id string, base uint64, ops ...model.Op) Result {
+	in := model.Intent{ID: id, Operator: operator, Base: base, Ops: ops}
+	return r.apply(Command{Plan: &PlanIntent{Intent: in, Deadline: r.now.Add(10 * time.Minute)}})
+}
+
+func (r *rig) confirm(operator, plan string) Result {
+	return r.apply(Command{Confirm: &ConfirmPlan{PlanID: plan, Operator: operator}})
+}
+
+// carry plans and confirms operations that have to succeed.
+func (r *rig) carry(ops ...model.Op) model.Plan {
+	p := r.plan("setup", fmt.Sprintf("i%d", r.index), ops...)
+	require.NoError(r.t, p.Err)
+	out := r.confirm("setup", p.Plan.ID)
+	require.NoError(r.t, out.Err)
+	return *out.Plan
+}
+
+// fleet lists n workers of 8 accelerators, three to a rack, in two domains.
+func (r *rig) fleet(n int) {
+	var set []model.Worker
+	for i := range n {
+		set = append(set, model.Worker{
+			Name: fmt.Sprintf("w%02d", i), Rack: fmt.Sprintf("r%d", i/3), Domain: fmt.Sprintf("d%d", i/6),
+			Region: "pl", Cores: 32, Memory: 128 << 30, Accels: 8, Kind: "a", Speed: 1,
+		})
+	}
+	r.must(Command{Workers: &SetWorkers{Set: set}})
+}
+
+func setTeam(name string, weight int) model.Op {
+	return model.Op{Kind: model.OpSetTeam, Team: &model.Team{Name: name, Slots: 1, Weight: weight}}
+}
+
+func setService(name string, keep int) model.Op {
+	return model.Op{Kind: model.OpSetService, Service: &model.Service{Name: name, LimitMs: 1000, KeepDays: keep}}
+}
+
+func shape(members int) model.Shape {
+	return model.Shape{Members: members, Cores: 1, Memory: 1 << 30, Accels: 1, Near: model.NearAny}
+}
+
+func submit(id, team string, members int, idempotent bool) model.Op {
+	return model.Op{Kind: model.OpSubmitJob, Job: &model.Job{
+		ID: id, Team: team, Shape: shape(members), Command: "render " + id, Idempotent: idempotent,
+	}}
+}
+
+// ready returns a rig with a fleet, a team "linen" and a service "rota".
+func ready(t testing.TB) *rig {
+	r := newRig(t)
+	r.fleet(6)
+	r.carry(setTeam("linen", 1), setService("rota", 2))
+	return r
+}
+
+// place puts the members of a job on the first workers, one each.
+func (r *rig) place(id string, members int) Result {
+	var m []model.Member
+	for i := range members {
+		m = append(m, model.Member{Index: i, Worker: fmt.Sprintf("w%02d", i)})
+	}
+	return r.apply(Command{Place: &PlaceJob{ID: id, Members: m}})
+}
+
+// report says the same about every member of a job.
+func (r *rig) report(id string, epoch uint64, members int, m MemberState) Result {
+	var out Report
+	for i := range members {
+		out.Members = append(out.Members, MemberReport{Job: id, Epoch: epoch, Member: i, State: m})
+	}
+	return r.apply(Command{Report: &out})
+}
+
+// running submits, places and starts a job, and returns its epoch.
+func (r *rig) running(id string, members int, idempotent bool) uint64 {
+	r.carry(submit(id, "linen", members, idempotent))
+	placed := r.place(id, members)
+	require.NoError(r.t, placed.Err)
+	r.report(id, placed.Job.Epoch, members, MemberPrepared)
+	r.must(Command{Start: &StartJob{ID: id, Epoch: placed.Job.Epoch}})
+	return placed.Job.Epoch
+}
+
+func (r *rig) job(id string) Job {
+	j, ok := r.s.View().Job(id)
+	require.True(r.t, ok)
+	return j
+}
--- a/internal/state/table.go
+++ b/internal/state/table.go
@@ -61,9 +61,3 @@
 	p, ok := t.tree.Min()
 	return p.key, p.val, ok
 }
-
-// last returns the row with the largest key.
-func (t table[K, V]) last() (K, V, bool) {
-	p, ok := t.tree.Max()
-	return p.key, p.val, ok
-}
