--- /dev/null
+++ b/internal/store/frame.go
@@ -0,0 +1,78 @@
+package store
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/knapweedlug/knapweedlug/internal/wire"
+)
+
+// A frame on disk is a header of three little-endian words and the encoded
+// message: magic, length, CRC32C of length and message. A frame is written
+// and synced before the next one is written, so a valid frame after a broken
+// one proves that the broken one was once whole.
+const (
+	frameMagic      = 0x6b6c4631
+	frameHeaderSize = 12
+	maxFrameBytes   = 1 << 28
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+func appendFrame(b []byte, f *wire.LogFrame) ([]byte, error) {
+	start := len(b)
+	b = append(b, make([]byte, frameHeaderSize)...)
+	b, err := proto.MarshalOptions{}.MarshalAppend(b, f)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode frame")
+	}
+	size := len(b) - start - frameHeaderSize
+	if size > maxFrameBytes {
+		return nil, errors.Newf("frame of %d bytes is over the bound of %d", size, maxFrameBytes)
+	}
+	head := b[start:]
+	binary.LittleEndian.PutUint32(head[0:], frameMagic)
+	binary.LittleEndian.PutUint32(head[4:], uint32(size))
+	binary.LittleEndian.PutUint32(head[8:], frameSum(head))
+	return b, nil
+}
+
+func frameSum(frame []byte) uint32 {
+	sum := crc32.Update(0, castagnoli, frame[4:8])
+	return crc32.Update(sum, castagnoli, frame[frameHeaderSize:])
+}
+
+// frameAt returns the encoded size of the frame at the head of b, or false if
+// no whole frame stands there.
+func frameAt(b []byte) (int, bool) {
+	if len(b) < frameHeaderSize || binary.LittleEndian.Uint32(b) != frameMagic {
+		return 0, false
+	}
+	size := int(binary.LittleEndian.Uint32(b[4:]))
+	if size > maxFrameBytes || frameHeaderSize+size > len(b) {
+		return 0, false
+	}
+	end := frameHeaderSize + size
+	return end, frameSum(b[:end]) == binary.LittleEndian.Uint32(b[8:])
+}
+
+// frameAfter tells whether a whole frame stands anywhere in b.
+func frameAfter(b []byte) bool {
+	for i := range b {
+		if _, ok := frameAt(b[i:]); ok {
+			return true
+		}
+	}
+	return false
+}
+
+func decodeFrame(b []byte) (*wire.LogFrame, error) {
+	f := &wire.LogFrame{}
+	if err := proto.Unmarshal(b[frameHeaderSize:], f); err != nil {
+		return nil, errors.Wrap(err, "decode frame")
+	}
+	return f, nil
+}
--- /dev/null
+++ b/internal/store/ident.go
@@ -0,0 +1,129 @@
+package store
+
+import (
+	"encoding/json"
+	"hash/crc32"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	identityName = "identity"
+	identityTemp = "identity.tmp"
+	// Format is the version of the files that this package writes.
+	Format = 1
+)
+
+// Identity says which replica a data folder belongs to.
+type Identity struct {
+	Format  uint32 `json:"format"`
+	Cluster string `json:"cluster"`
+	Name    string `json:"name"`
+	// Incarnation is random and new with each folder. A replica whose folder
+	// was lost comes back with another one and so is another member.
+	Incarnation string `json:"incarnation"`
+	// Boot counts how often the folder was opened.
+	Boot uint64 `json:"boot"`
+	// Refused tells why this folder must never vote again; empty if it may.
+	Refused string `json:"refused,omitempty"`
+}
+
+// WithBoot returns the identity after another opening.
+func (i Identity) WithBoot() Identity {
+	i.Boot++
+	return i
+}
+
+// WithRefused returns the identity marked as unfit to vote.
+func (i Identity) WithRefused(reason string) Identity {
+	i.Refused = reason
+	return i
+}
+
+type identityFile struct {
+	Sum      uint32          `json:"sum"`
+	Identity json.RawMessage `json:"identity"`
+}
+
+func (i Identity) check(opt Options) error {
+	switch {
+	case i.Format > Format:
+		return errors.Wrapf(ErrNewerFormat, "%s: format %d, this program reads up to %d", identityName, i.Format, Format)
+	case i.Cluster != opt.Cluster:
+		return errors.Wrapf(ErrOtherCluster, "%s: cluster %q, settings say %q", identityName, i.Cluster, opt.Cluster)
+	case i.Name != opt.Name:
+		return errors.Wrapf(ErrOtherReplica, "%s: name %q, settings say %q", identityName, i.Name, opt.Name)
+	}
+	return nil
+}
+
+func readIdentity(fs FS) (Identity, error) {
+	b, err := readFile(fs, identityName)
+	if err != nil {
+		return Identity{}, err
+	}
+	var f identityFile
+	var id Identity
+	if err := json.Unmarshal(b, &f); err != nil {
+		return id, &CorruptError{File: identityName, Reason: err.Error()}
+	}
+	if crc32.Checksum(f.Identity, castagnoli) != f.Sum {
+		return id, &CorruptError{File: identityName, Reason: "checksum mismatch"}
+	}
+	if err := json.Unmarshal(f.Identity, &id); err != nil {
+		return id, &CorruptError{File: identityName, Reason: err.Error()}
+	}
+	return id, nil
+}
+
+func writeIdentity(fs FS, id Identity) error {
+	raw, err := json.Marshal(id)
+	if err != nil {
+		return errors.Wrap(err, "encode identity")
+	}
+	b, err := json.Marshal(identityFile{Sum: crc32.Checksum(raw, castagnoli), Identity: raw})
+	if err != nil {
+		return errors.Wrap(err, "encode identity")
+	}
+	if err := writeFile(fs, identityTemp, b); err != nil {
+		return err
+	}
+	if err := fs.Rename(identityTemp, identityName); err != nil {
+		return errors.Wrap(err, "rename identity")
+	}
+	return errors.Wrap(fs.SyncDir(), "sync data folder")
+}
+
+func readFile(fs FS, name string) ([]byte, error) {
+	f, err := fs.Open(name, false)
+	if err != nil {
+		return nil, errors.Wrapf(err, "open %s", name)
+	}
+	size, err := f.Size()
+	if err != nil {
+		return nil, errors.CombineErrors(errors.Wrapf(err, "size of %s", name), f.Close())
+	}
+	b := make([]byte, size)
+	if size > 0 {
+		if _, err := f.ReadAt(b, 0); err != nil {
+			return nil, errors.CombineErrors(errors.Wrapf(err, "read %s", name), f.Close())
+		}
+	}
+	return b, errors.Wrapf(f.Close(), "close %s", name)
+}
+
+// writeFile replaces the content of a file and syncs it.
+func writeFile(fs FS, name string, b []byte) error {
+	f, err := fs.Open(name, true)
+	if err != nil {
+		return errors.Wrapf(err, "create %s", name)
+	}
+	err = f.Truncate(0)
+	if err == nil {
+		_, err = f.WriteAt(b, 0)
+	}
+	if err == nil {
+		err = f.Sync()
+	}
+	return errors.Wrapf(errors.CombineErrors(err, f.Close()), "write %s", name)
+}
--- /dev/null
+++ b/internal/store/snap.go
@@ -0,0 +1,205 @@
+package store
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/knapweedlug/knapweedlug/internal/wire"
+)
+
+// A snapshot file is the machine's data, then the encoded wire.LogSnapshot,
+// then the length of that and the CRC32C of all before.
+const (
+	snapshotPrefix  = "snap-"
+	snapshotTemp    = "tmp-snapshot"
+	incomingName    = "tmp-incoming"
+	snapshotTail    = 8
+	snapshotBufSize = 64 << 10
+)
+
+func snapshotName(index uint64) string { return fmt.Sprintf("%s%016x", snapshotPrefix, index) }
+
+// Snapshot describes the latest snapshot, or returns nil.
+func (s *Store) Snapshot() *wire.LogSnapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.snapshot
+}
+
+// WriteSnapshot writes a snapshot from what write produces and makes it the
+// latest one.
+func (s *Store) WriteSnapshot(meta *wire.LogSnapshot, write func(w io.Writer) error) error {
+	f, err := s.fs.Open(snapshotTemp, true)
+	if err != nil {
+		return fullOr(errors.Wrap(err, "create snapshot"))
+	}
+	meta = proto.CloneOf(meta)
+	meta.Format, meta.Cluster = Format, s.opt.Cluster
+	err = writeSnapshotFile(f, meta, write)
+	if err := errors.CombineErrors(err, f.Close()); err != nil {
+		// The rest of the file would only take space from the log.
+		return fullOr(errors.CombineErrors(errors.Wrap(err, "write snapshot"), s.fs.Remove(snapshotTemp)))
+	}
+	return s.adopt(snapshotTemp, meta)
+}
+
+func writeSnapshotFile(f File, meta *wire.LogSnapshot, write func(w io.Writer) error) error {
+	if err := f.Truncate(0); err != nil {
+		return err
+	}
+	out := &sumWriter{w: io.NewOffsetWriter(f, 0)}
+	buf := bufio.NewWriterSize(out, snapshotBufSize)
+	if err := write(buf); err != nil {
+		return err
+	}
+	if err := buf.Flush(); err != nil {
+		return err
+	}
+	meta.Size = 0
+	tail, err := proto.Marshal(meta)
+	if err != nil {
+		return err
+	}
+	tail = binary.LittleEndian.AppendUint32(tail, uint32(len(tail)))
+	if _, err := out.Write(tail); err != nil {
+		return err
+	}
+	sum := binary.LittleEndian.AppendUint32(nil, out.sum)
+	if _, err := out.Write(sum); err != nil {
+		return err
+	}
+	meta.Size = uint64(out.n)
+	return f.Sync()
+}
+
+type sumWriter struct {
+	w   io.Writer
+	sum uint32
+	n   int64
+}
+
+func (w *sumWriter) Write(p []byte) (int, error) {
+	n, err := w.w.Write(p)
+	w.sum = crc32.Update(w.sum, castagnoli, p[:n])
+	w.n += int64(n)
+	return n, err
+}
+
+// adopt makes a whole, synced file the latest snapshot.
+func (s *Store) adopt(temp string, meta *wire.LogSnapshot) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.snapshot != nil && s.snapshot.GetIndex() >= meta.GetIndex() {
+		return errors.Wrap(s.fs.Remove(temp), "remove old snapshot")
+	}
+	if err := s.fs.Rename(temp, snapshotName(meta.GetIndex())); err != nil {
+		return errors.Wrap(err, "rename snapshot")
+	}
+	if err := s.fs.SyncDir(); err != nil {
+		return errors.Wrap(err, "sync data folder")
+	}
+	old := s.snapshot
+	s.snapshot = meta
+	if old == nil {
+		return nil
+	}
+	return errors.Wrap(s.fs.Remove(snapshotName(old.GetIndex())), "remove old snapshot")
+}
+
+// loadSnapshot finds the latest snapshot, checks it, and removes older ones.
+func loadSnapshot(fs FS, names []string, cluster string) (*wire.LogSnapshot, error) {
+	var found string
+	for _, name := range names {
+		if !strings.HasPrefix(name, snapshotPrefix) {
+			continue
+		}
+		if found != "" {
+			if err := fs.Remove(found); err != nil {
+				return nil, errors.Wrapf(err, "remove %s", found)
+			}
+		}
+		found = name
+	}
+	if found == "" {
+		return nil, nil
+	}
+	return checkSnapshot(fs, found, cluster)
+}
+
+// checkSnapshot reads a snapshot file through and returns its description.
+func checkSnapshot(fs FS, name, cluster string) (*wire.LogSnapshot, error) {
+	f, err := fs.Open(name, false)
+	if err != nil {
+		return nil, errors.Wrapf(err, "open %s", name)
+	}
+	meta, err := readSnapshotMeta(f, name)
+	if err := errors.CombineErrors(err, f.Close()); err != nil {
+		return nil, err
+	}
+	if meta.GetFormat() > Format {
+		return nil, errors.Wrapf(ErrNewerFormat, "%s: format %d", name, meta.GetFormat())
+	}
+	if meta.GetCluster() != cluster {
+		return nil, errors.Wrapf(ErrOtherCluster, "%s: cluster %q", name, meta.GetCluster())
+	}
+	return meta, nil
+}
+
+func readSnapshotMeta(f File, name string) (*wire.LogSnapshot, error) {
+	size, err := f.Size()
+	if err != nil {
+		return nil, errors.Wrapf(err, "size of %s", name)
+	}
+	if size < snapshotTail {
+		return nil, &CorruptError{File: name, Reason: "snapshot is too short"}
+	}
+	sum := crc32.New(castagnoli)
+	if _, err := io.Copy(sum, io.NewSectionReader(f, 0, size-4)); err != nil {
+		return nil, errors.Wrapf(err, "read %s", name)
+	}
+	var tail [snapshotTail]byte
+	if _, err := f.ReadAt(tail[:], size-snapshotTail); err != nil {
+		return nil, errors.Wrapf(err, "read %s", name)
+	}
+	if sum.Sum32() != binary.LittleEndian.Uint32(tail[4:]) {
+		return nil, &CorruptError{File: name, Offset: size - 4, Reason: "snapshot checksum mismatch"}
+	}
+	n := int64(binary.LittleEndian.Uint32(tail[:]))
+	if n > size-snapshotTail {
+		return nil, &CorruptError{File: name, Offset: size - snapshotTail, Reason: "bad length"}
+	}
+	b := make([]byte, n)
+	if _, err := f.ReadAt(b, size-snapshotTail-n); err != nil {
+		return nil, errors.Wrapf(err, "read %s", name)
+	}
+	meta := &wire.LogSnapshot{}
+	if err := proto.Unmarshal(b, meta); err != nil {
+		return nil, &CorruptError{File: name, Offset: size - snapshotTail - n, Reason: err.Error()}
+	}
+	meta.Size = uint64(size)
+	return meta, nil
+}
+
+// ReadSnapshot hands the data of the latest snapshot to read.
+func (s *Store) ReadSnapshot(read func(meta *wire.LogSnapshot, r io.Reader) error) error {
+	meta := s.Snapshot()
+	if meta == nil {
+		return ErrNoSnapshot
+	}
+	f, err := s.fs.Open(snapshotName(meta.GetIndex()), false)
+	if err != nil {
+		return errors.Wrap(err, "open snapshot")
+	}
+	plain := proto.CloneOf(meta)
+	plain.Size = 0
+	size := int64(meta.GetSize()) - snapshotTail - int64(proto.Size(plain))
+	r := bufio.NewReaderSize(io.NewSectionReader(f, 0, size), snapshotBufSize)
+	return errors.CombineErrors(read(meta, r), f.Close())
+}
--- /dev/null
+++ b/internal/wire/doc.go
@@ -0,0 +1,3 @@
+// Package wire holds the protobuf messages that processes of the system
+// exchange.
+package wire
