--- /dev/null
+++ b/internal/replog/disk.go
@@ -0,0 +1,149 @@
+package replog
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/knapweedlug/knapweedlug/internal/store"
+	"github.com/knapweedlug/knapweedlug/internal/wire"
+)
+
+// fullRetry is how long to wait before a full disk is tried again.
+const fullRetry = 200 * time.Millisecond
+
+// runDisk saves what the protocol wants saved. All that piles up during one
+// sync is written and synced together by the next.
+func (n *Node) runDisk(ctx context.Context) error {
+	for wait(ctx, n.wakeDisk) {
+		for ctx.Err() == nil {
+			busy, err := n.diskRound(ctx)
+			if err != nil {
+				return err
+			}
+			if !busy {
+				break
+			}
+		}
+	}
+	return ctx.Err()
+}
+
+func (n *Node) diskRound(ctx context.Context) (busy bool, err error) {
+	n.mu.Lock()
+	w := n.core.takeWork()
+	compactTo, refuse := n.compactTo, n.refuse
+	n.compactTo, n.refuse = 0, ""
+	n.mu.Unlock()
+	if refuse != "" {
+		n.log.Error("data folder refused; empty it to join as a new member", zap.String("reason", refuse))
+		if err := n.st.Refuse(refuse); err != nil && !errors.Is(err, store.ErrFull) {
+			return false, err
+		}
+	}
+	if compactTo > 0 {
+		if err := n.st.Compact(compactTo); err != nil {
+			return false, err
+		}
+	}
+	if w.empty() {
+		return false, nil
+	}
+	if err := n.save(ctx, w); err != nil {
+		return false, err
+	}
+	return true, nil
+}
+
+func (n *Node) save(ctx context.Context, w work) error {
+	if w.frame != nil {
+		if err := n.saveFrame(ctx, w.frame); err != nil {
+			return err
+		}
+	}
+	var remote []*wire.LogMessage
+	n.update(func(c *core, now time.Time) {
+		c.saved(now, w)
+		for _, m := range w.messages {
+			if m.GetToIncarnation() == c.self {
+				c.step(now, m)
+				continue
+			}
+			remote = append(remote, m)
+		}
+	})
+	n.sendAll(remote)
+	for _, m := range w.received {
+		if err := n.receive(m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// saveFrame waits out a full disk.
+func (n *Node) saveFrame(ctx context.Context, f *wire.LogFrame) error {
+	for {
+		err := n.st.Save(f)
+		if !errors.Is(err, store.ErrFull) {
+			return err
+		}
+		n.setFull(err)
+		t := time.NewTimer(fullRetry)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return ctx.Err()
+		case <-t.C:
+		}
+	}
+}
+
+func (n *Node) setFull(err error) {
+	n.update(func(c *core, _ time.Time) {
+		if !c.full {
+			n.log.Error("disk is full; nothing is acknowledged until there is space", zap.Error(err))
+		}
+		c.full = true
+	})
+}
+
+// receive writes a chunk of a snapshot, and installs it after the last one.
+func (n *Node) receive(m *wire.LogMessage) error {
+	snap := m.GetChunk().GetSnapshot()
+	next, done, err := n.st.Receive(m.GetChunk())
+	if errors.Is(err, store.ErrFull) {
+		n.setFull(err)
+		return nil // the leader sends the chunk again
+	}
+	if err != nil {
+		return err
+	}
+	if done {
+		if err := n.install(snap); err != nil {
+			return err
+		}
+	}
+	n.update(func(c *core, now time.Time) {
+		c.advance(now)
+		c.full = false
+		c.chunkWritten(m, next)
+	})
+	return nil
+}
+
+func (n *Node) install(snap *wire.LogSnapshot) error {
+	replaces := false
+	n.update(func(c *core, _ time.Time) { replaces = c.beginInstall(snap) })
+	if !replaces {
+		return nil
+	}
+	if err := n.st.Reset(); err != nil {
+		return err
+	}
+	n.update(func(c *core, now time.Time) { c.installed(now, snap) })
+	n.log.Info("snapshot installed", zap.Uint64("index", snap.GetIndex()))
+	return nil
+}
--- /dev/null
+++ b/internal/replog/elect.go
@@ -0,0 +1,161 @@
+package replog
+
+import (
+	"github.com/knapweedlug/knapweedlug/internal/wire"
+)
+
+// canCampaign tells whether this replica may become leader.
+func (c *core) canCampaign() bool {
+	return c.members().isVoter(c.self) && c.hello.vouched && !c.full && !c.installing
+}
+
+// startPreVote asks whether an election could be won before a term is spent
+// on it, so that a replica that comes back disturbs nobody.
+func (c *core) startPreVote() {
+	c.resetElection()
+	if !c.canCampaign() {
+		return
+	}
+	c.role = PreCandidate
+	c.leader = ""
+	c.votes = make(map[string]bool)
+	c.askVotes(wire.LogKind_LOG_KIND_PRE_VOTE)
+	c.countPreVote(c.self)
+}
+
+// startElection begins a new term. The own vote counts like the others', once
+// it is on disk.
+func (c *core) startElection() {
+	c.state = c.state.withTerm(c.state.term + 1).withVote(c.self)
+	c.role = Candidate
+	c.leader = ""
+	c.votes = make(map[string]bool)
+	c.resetElection()
+	c.askVotes(wire.LogKind_LOG_KIND_VOTE)
+	own := c.message(wire.LogKind_LOG_KIND_VOTE_REPLY, Member{Name: c.opt.Name, Incarnation: c.self})
+	c.sendSynced(own)
+}
+
+func (c *core) askVotes(kind wire.LogKind) {
+	for _, m := range c.members().voters() {
+		if m.Incarnation == c.self {
+			continue
+		}
+		msg := c.message(kind, m)
+		msg.Index, msg.LogTerm = c.log.lastIndex(), c.log.lastTerm()
+		if kind == wire.LogKind_LOG_KIND_PRE_VOTE {
+			msg.Term = c.state.term + 1
+			c.send(msg)
+			continue
+		}
+		c.sendSynced(msg)
+	}
+}
+
+// upToDate tells whether a candidate's log holds all that ours does.
+func (c *core) upToDate(m *wire.LogMessage) bool {
+	if m.GetLogTerm() != c.log.lastTerm() {
+		return m.GetLogTerm() > c.log.lastTerm()
+	}
+	return m.GetIndex() >= c.log.lastIndex()
+}
+
+// bound tells whether a leader may still rely on this replica's promise to
+// elect nobody else.
+func (c *core) bound() bool {
+	if c.role == Leader {
+		return c.now.Before(c.leading.leaseDeadline)
+	}
+	return c.now.Before(c.promiseDeadline)
+}
+
+// mayVote tells whether this replica may vote for another one. A replica that
+// holds no membership yet, or a learner, may: a candidate counts only those
+// that are voters in its own log.
+func (c *core) mayVote() bool {
+	return c.hello.vouched && !c.bound()
+}
+
+func (c *core) stepPreVote(m *wire.LogMessage) {
+	if !c.mayVote() {
+		return
+	}
+	r := c.reply(wire.LogKind_LOG_KIND_PRE_VOTE_REPLY, m)
+	switch {
+	case m.GetTerm() <= c.state.term:
+		// Lets a candidate whose term lags catch up with it.
+		r.Reject = true
+	case !c.upToDate(m):
+		return
+	default:
+		r.Term = m.GetTerm()
+	}
+	c.send(r)
+}
+
+func (c *core) stepPreVoteReply(m *wire.LogMessage) {
+	if c.role != PreCandidate {
+		return
+	}
+	if m.GetReject() && m.GetTerm() > c.state.term {
+		c.becomeFollower(m.GetTerm(), "")
+		return
+	}
+	if m.GetReject() || m.GetTerm() != c.state.term+1 {
+		return
+	}
+	c.countPreVote(m.GetFromIncarnation())
+}
+
+func (c *core) countPreVote(from string) {
+	c.votes[from] = true
+	if c.wonVotes() {
+		c.startElection()
+	}
+}
+
+func (c *core) wonVotes() bool {
+	n := 0
+	for _, m := range c.members().voters() {
+		if c.votes[m.Incarnation] {
+			n++
+		}
+	}
+	return n >= c.members().quorum()
+}
+
+func (c *core) stepVote(m *wire.LogMessage) {
+	if !c.mayVote() || m.GetTerm() < c.state.term {
+		return
+	}
+	if m.GetTerm() > c.state.term {
+		c.becomeFollower(m.GetTerm(), "")
+	}
+	free := c.state.vote == "" || c.state.vote == m.GetFromIncarnation()
+	if (c.role != Follower && c.role != Waiting) || !free || !c.upToDate(m) {
+		return
+	}
+	c.state = c.state.withVote(m.GetFromIncarnation())
+	c.resetElection()
+	c.sendSynced(c.reply(wire.LogKind_LOG_KIND_VOTE_REPLY, m))
+}
+
+func (c *core) stepVoteReply(m *wire.LogMessage) {
+	if c.role != Candidate || m.GetTerm() != c.state.term {
+		return
+	}
+	c.votes[m.GetFromIncarnation()] = true
+	if c.wonVotes() {
+		c.becomeLeader()
+	}
+}
+
+func (c *core) becomeLeader() {
+	c.role = Leader
+	c.leader = c.self
+	c.votes = nil
+	c.state = c.state.withAccepted(c.state.term)
+	c.leading = newLeading(c)
+	c.appendOwn(wire.LogEntryKind_LOG_ENTRY_KIND_EMPTY, nil)
+	c.beginRound()
+}
--- /dev/null
+++ b/internal/replog/entries.go
@@ -0,0 +1,140 @@
+package replog
+
+import (
+	"math"
+
+	"github.com/knapweedlug/knapweedlug/internal/wire"
+)
+
+// entryOverhead is what an entry takes in memory beside its data.
+const entryOverhead = 128
+
+func entryBytes(e *wire.LogEntry) int { return len(e.GetData()) + entryOverhead }
+
+// entryLog is the part of the log that is held in memory: all entries after
+// base. Entries up to saved are on disk, those up to saving are on their way.
+type entryLog struct {
+	base     uint64
+	baseTerm uint64
+	entries  []*wire.LogEntry
+	saving   uint64
+	saved    uint64
+	bytes    int
+}
+
+// newEntryLog returns the log that a store held.
+func newEntryLog(entries []*wire.LogEntry, snap *wire.LogSnapshot) entryLog {
+	l := entryLog{base: snap.GetIndex(), baseTerm: snap.GetTerm(), entries: entries}
+	if len(entries) > 0 && entries[0].GetIndex() <= l.base {
+		// The term before the first entry isn't known, so this is the base.
+		l.base, l.baseTerm = entries[0].GetIndex(), entries[0].GetTerm()
+		l.entries = entries[1:]
+	}
+	for _, e := range l.entries {
+		l.bytes += entryBytes(e)
+	}
+	l.saved = l.lastIndex()
+	l.saving = l.saved
+	return l
+}
+
+func (l *entryLog) lastIndex() uint64 { return l.base + uint64(len(l.entries)) }
+
+func (l *entryLog) lastTerm() uint64 {
+	t, _ := l.term(l.lastIndex())
+	return t
+}
+
+// term returns the term of an entry, or false if it isn't held.
+func (l *entryLog) term(index uint64) (uint64, bool) {
+	switch {
+	case index == l.base:
+		return l.baseTerm, true
+	case index < l.base || index > l.lastIndex():
+		return 0, false
+	}
+	return l.at(index).GetTerm(), true
+}
+
+func (l *entryLog) at(index uint64) *wire.LogEntry { return l.entries[index-l.base-1] }
+
+// matches tells whether the log holds an entry with this index and term.
+func (l *entryLog) matches(index, term uint64) bool {
+	t, ok := l.term(index)
+	return ok && t == term
+}
+
+func (l *entryLog) append(entries ...*wire.LogEntry) {
+	for _, e := range entries {
+		l.bytes += entryBytes(e)
+	}
+	l.entries = append(l.entries, entries...)
+}
+
+// truncate removes the entries from an index on.
+func (l *entryLog) truncate(from uint64) {
+	for _, e := range l.entries[from-l.base-1:] {
+		l.bytes -= entryBytes(e)
+	}
+	// The slice is copied because readers may hold the old one.
+	l.entries = append([]*wire.LogEntry(nil), l.entries[:from-l.base-1]...)
+	l.saved = min(l.saved, from-1)
+	l.saving = min(l.saving, from-1)
+}
+
+// from returns entries from an index on, of about maxBytes and at least one.
+func (l *entryLog) from(index uint64, maxBytes int) []*wire.LogEntry {
+	if index <= l.base || index > l.lastIndex() {
+		return nil
+	}
+	rest := l.entries[index-l.base-1:]
+	size := 0
+	for i, e := range rest {
+		size += entryBytes(e)
+		if size > maxBytes && i > 0 {
+			return rest[:i:i]
+		}
+	}
+	return rest[:len(rest):len(rest)]
+}
+
+// takeUnsaved returns the entries to be written next.
+func (l *entryLog) takeUnsaved() []*wire.LogEntry {
+	entries := l.from(l.saving+1, math.MaxInt)
+	l.saving += uint64(len(entries))
+	return entries
+}
+
+// markSaved notes that entries are on disk, unless they were replaced since.
+func (l *entryLog) markSaved(entries []*wire.LogEntry) {
+	for i := len(entries) - 1; i >= 0; i-- {
+		e := entries[i]
+		if l.matches(e.GetIndex(), e.GetTerm()) {
+			l.saved = max(l.saved, e.GetIndex())
+			return
+		}
+	}
+}
+
+// compact drops entries up to an index, but keeps about tail bytes of them.
+func (l *entryLog) compact(index uint64, tail int) {
+	if index <= l.base {
+		return
+	}
+	keep := 0
+	for index > l.base+1 && keep+entryBytes(l.at(index)) <= tail {
+		keep += entryBytes(l.at(index))
+		index--
+	}
+	term, _ := l.term(index)
+	for _, e := range l.entries[:index-l.base] {
+		l.bytes -= entryBytes(e)
+	}
+	l.entries = append([]*wire.LogEntry(nil), l.entries[index-l.base:]...)
+	l.base, l.baseTerm = index, term
+}
+
+// reset empties the log; it goes on after a snapshot.
+func (l *entryLog) reset(index, term uint64) {
+	*l = entryLog{base: index, baseTerm: term, saving: index, saved: index}
+}
--- /dev/null
+++ b/internal/replog/follow.go
@@ -0,0 +1,99 @@
+package replog
+
+import (
+	"github.com/knapweedlug/knapweedlug/internal/wire"
+)
+
+// heardLeader notes a message of the leader of a term, and tells whether it is
+// the current one.
+func (c *core) heardLeader(m *wire.LogMessage) bool {
+	if m.GetTerm() < c.state.term {
+		r := c.reply(wire.LogKind_LOG_KIND_APPEND_REPLY, m)
+		r.Reject = true
+		c.send(r)
+		return false
+	}
+	if m.GetTerm() > c.state.term || c.role == Candidate || c.role == PreCandidate {
+		c.becomeFollower(m.GetTerm(), m.GetFromIncarnation())
+	}
+	c.leader = m.GetFromIncarnation()
+	c.promiseDeadline = c.now.Add(c.opt.Election)
+	c.resetElection()
+	return true
+}
+
+func (c *core) stepAppend(m *wire.LogMessage) {
+	if !c.heardLeader(m) || c.installing {
+		return
+	}
+	c.marks.merge(m.GetMarks())
+	if m.GetIndex() > c.commit && !c.log.matches(m.GetIndex(), m.GetLogTerm()) {
+		c.rejectAppend(m)
+		return
+	}
+	last := m.GetIndex()
+	if n := len(m.GetEntries()); n > 0 {
+		last = m.GetEntries()[n-1].GetIndex()
+	}
+	if !c.takeEntries(m.GetEntries()) {
+		return
+	}
+	c.state = c.state.withAccepted(c.state.term)
+	c.commit = max(c.commit, min(m.GetCommit(), last))
+	c.acceptAppend(m, last)
+}
+
+// acceptAppend acknowledges entries once they are on disk. An acknowledgement
+// that needs nothing from the disk doesn't wait for it, so that a slow disk
+// doesn't cost the leader its lease.
+func (c *core) acceptAppend(m *wire.LogMessage, last uint64) {
+	r := c.reply(wire.LogKind_LOG_KIND_APPEND_REPLY, m)
+	r.Round, r.Index = m.GetRound(), last
+	if c.state != c.savedState || (len(m.GetEntries()) > 0 && last > c.log.saved) {
+		c.sendSynced(r)
+		return
+	}
+	r.Index = min(last, c.log.saved)
+	c.send(r)
+}
+
+func (c *core) rejectAppend(m *wire.LogMessage) {
+	r := c.reply(wire.LogKind_LOG_KIND_APPEND_REPLY, m)
+	r.Reject, r.Round, r.Index = true, m.GetRound(), m.GetIndex()
+	r.Hint = min(m.GetIndex()-1, c.log.lastIndex())
+	if term, ok := c.log.term(r.GetHint()); ok && r.GetHint() < c.log.lastIndex() {
+		// Skips the whole term that conflicts.
+		for r.Hint > c.commit && c.log.matches(r.GetHint(), term) {
+			r.Hint--
+		}
+	}
+	c.send(r)
+}
+
+// takeEntries adds entries to the log and replaces those that conflict. It
+// returns false if they don't decode.
+func (c *core) takeEntries(entries []*wire.LogEntry) bool {
+	for len(entries) > 0 {
+		e := entries[0]
+		if e.GetIndex() > c.commit && !c.log.matches(e.GetIndex(), e.GetTerm()) {
+			break
+		}
+		entries = entries[1:]
+	}
+	if len(entries) == 0 {
+		return true
+	}
+	if first := entries[0].GetIndex(); first <= c.log.lastIndex() {
+		c.log.truncate(first)
+		c.history = c.history.truncated(first)
+	}
+	if err := c.noteMembers(entries); err != nil {
+		return false
+	}
+	c.log.append(entries...)
+	if c.role == Waiting && c.formed() {
+		c.role = Follower
+		c.hello.joined(c)
+	}
+	return true
+}
--- /dev/null
+++ b/internal/replog/hello.go
@@ -0,0 +1,180 @@
+package replog
+
+import (
+	"slices"
+	"time"
+
+	"github.com/knapweedlug/knapweedlug/internal/wire"
+)
+
+// helloState is how a replica gets into the cluster after its start.
+//
+// A replica without a membership announces itself. The first of the initial
+// voters founds the cluster once all the others have announced themselves as
+// new too, so that a host that lost its disk never founds another cluster.
+//
+// A replica with a membership asks its peers what they remember of it, and
+// doesn't vote until enough of them have found nothing missing. If they are
+// out of reach, it votes after vouchDeadline all the same.
+type helloState struct {
+	vouched       bool
+	vouchers      map[string]bool
+	vouchDeadline time.Time
+	next          time.Time
+	announced     map[string]announcement // by name
+}
+
+// announcement is what a replica said of itself.
+type announcement struct {
+	incarnation string
+	formed      bool
+	heard       time.Time
+}
+
+func (h *helloState) begin(c *core) {
+	*h = helloState{
+		vouchers:      make(map[string]bool),
+		vouchDeadline: c.now.Add(2 * c.opt.Election),
+		next:          c.now,
+		announced:     make(map[string]announcement),
+		// A folder that was just made has no earlier self.
+		vouched: c.boot == 1,
+	}
+	if voters := c.members().voters(); len(voters) == 1 && voters[0].Incarnation == c.self {
+		h.vouched = true
+	}
+}
+
+// joined notes that this replica has received a membership.
+func (h *helloState) joined(c *core) {
+	h.vouchDeadline = c.now.Add(2 * c.opt.Election)
+	c.resetElection()
+}
+
+func (h *helloState) tick(c *core) {
+	if !h.vouched && !c.now.Before(h.vouchDeadline) {
+		h.vouched = true
+	}
+	if !c.now.Before(h.next) {
+		h.next = c.now.Add(c.opt.Heartbeat)
+		c.sendHellos()
+	}
+	if !c.formed() {
+		c.tryFound()
+	}
+}
+
+func (c *core) sendHellos() {
+	if !c.formed() {
+		for _, p := range c.opt.Voters {
+			c.sendHello(Member{Name: p.Name})
+		}
+		return
+	}
+	if c.hello.vouched {
+		return
+	}
+	for _, m := range c.members() {
+		c.sendHello(m)
+	}
+}
+
+func (c *core) sendHello(to Member) {
+	if to.Name == c.opt.Name && (to.Incarnation == "" || to.Incarnation == c.self) {
+		return
+	}
+	m := c.message(wire.LogKind_LOG_KIND_HELLO, to)
+	m.Accepted, m.Index = c.durable.accepted, c.durable.index
+	c.send(m)
+}
+
+func (c *core) stepHello(m *wire.LogMessage) {
+	c.noteAnnouncement(m)
+	r := c.reply(wire.LogKind_LOG_KIND_HELLO_REPLY, m)
+	r.Round = m.GetBoot()
+	mark, known := c.marks.marks[m.GetFromIncarnation()]
+	if known {
+		r.Marks = []*wire.LogMark{mark}
+	}
+	c.send(r)
+	p := c.peer(m.GetFromIncarnation())
+	if p == nil || m.GetBoot() <= p.boot {
+		return
+	}
+	// The peer has restarted: what was on its way is lost.
+	p.boot = m.GetBoot()
+	p.probe(p.match + 1)
+	held := position{m.GetAccepted(), m.GetIndex()}
+	if known && mark.GetBoot() < m.GetBoot() && held.less(markPosition(mark)) {
+		p.refused = true
+	}
+}
+
+func (c *core) noteAnnouncement(m *wire.LogMessage) {
+	c.hello.announced[m.GetFrom()] = announcement{m.GetFromIncarnation(), m.GetFormed(), c.now}
+}
+
+func (c *core) stepHelloReply(m *wire.LogMessage) {
+	if m.GetRound() != c.boot || !c.checkOwnMark(m.GetMarks()) {
+		return
+	}
+	c.noteAnnouncement(m)
+	if c.hello.vouched {
+		return
+	}
+	c.hello.vouchers[m.GetFromIncarnation()] = true
+	c.hello.vouched = c.enoughVouchers()
+}
+
+// enoughVouchers tells whether every majority that this replica may have been
+// part of includes one of those who vouched for it.
+func (c *core) enoughVouchers() bool {
+	voters := c.members().voters()
+	n := 0
+	for _, m := range voters {
+		if c.hello.vouchers[m.Incarnation] {
+			n++
+		}
+	}
+	return len(voters) > 0 && n >= len(voters)-c.members().quorum()+1
+}
+
+// tryFound makes the first membership, if it falls to this replica.
+func (c *core) tryFound() {
+	names := make([]string, len(c.opt.Voters))
+	for i, p := range c.opt.Voters {
+		names[i] = p.Name
+	}
+	if slices.Min(names) != c.opt.Name {
+		return
+	}
+	members := Members{}
+	for _, name := range names {
+		inc := c.self
+		if name != c.opt.Name {
+			a, ok := c.hello.announced[name]
+			if !ok || a.formed || c.now.Sub(a.heard) > c.opt.Election {
+				return
+			}
+			inc = a.incarnation
+		}
+		members = append(members, Member{Name: name, Incarnation: inc, Role: Voter})
+	}
+	c.found(members)
+}
+
+func (c *core) found(members Members) {
+	data, err := members.encode()
+	if err != nil {
+		return
+	}
+	if c.state.term == 0 {
+		c.state = c.state.withTerm(1)
+	}
+	c.state = c.state.withAccepted(c.state.term)
+	index := c.appendOwn(wire.LogEntryKind_LOG_ENTRY_KIND_MEMBERS, data)
+	c.history = memberHistory{{index, members}}
+	c.role = Follower
+	c.hello.joined(c)
+	c.electionDeadline = c.now
+}
--- /dev/null
+++ b/internal/replog/lead.go
@@ -0,0 +1,317 @@
+package replog
+
+import (
+	"time"
+
+	"github.com/knapweedlug/knapweedlug/internal/wire"
+)
+
+// leading is what only a leader keeps.
+type leading struct {
+	peers         map[string]*progress
+	heartbeat     time.Time // when the next heartbeats are due
+	round         uint64
+	rounds        []round // rounds that a majority has not acknowledged
+	quorumRound   uint64  // last round that a majority acknowledged
+	quorumTime    time.Time
+	leaseDeadline time.Time
+	termStart     uint64 // index of the first entry of the own term
+}
+
+// round is a broadcast of heartbeats. Whoever acknowledges it was this
+// leader's follower at a time after it was sent.
+type round struct {
+	number uint64
+	sent   time.Time
+}
+
+// PeerState is how a leader sends to a peer.
+type PeerState string
+
+// The states of a peer.
+const (
+	Probe     PeerState = "probe"     // looks for where the logs agree
+	Replicate PeerState = "replicate" // sends ahead of acknowledgements
+	Transfer  PeerState = "transfer"  // sends a snapshot
+)
+
+// progress is what a leader knows of a peer.
+type progress struct {
+	state    PeerState
+	match    uint64 // last entry that the peer holds on disk
+	next     uint64 // first entry to send
+	inflight []flight
+	bytes    int  // unacknowledged bytes
+	paused   bool // in Probe: wait for the answer or the next heartbeat
+	round    uint64
+	heard    time.Time
+	boot     uint64
+	full     bool
+	refused  bool // the peer has lost entries that it acknowledged
+	transfer transfer
+}
+
+// flight is an append on its way: its last entry and its size.
+type flight struct {
+	last  uint64
+	bytes int
+}
+
+func (p *progress) probe(next uint64) {
+	p.state, p.next = Probe, max(next, p.match+1)
+	p.inflight, p.bytes, p.paused = nil, 0, false
+}
+
+// acknowledge notes that the peer holds all entries up to an index.
+func (p *progress) acknowledge(index uint64) {
+	p.match = max(p.match, index)
+	p.next = max(p.next, p.match+1)
+	for len(p.inflight) > 0 && p.inflight[0].last <= p.match {
+		p.bytes -= p.inflight[0].bytes
+		p.inflight = p.inflight[1:]
+	}
+}
+
+func newLeading(c *core) leading {
+	l := leading{
+		peers: make(map[string]*progress), quorumTime: c.now, heartbeat: c.now,
+		termStart: c.log.lastIndex() + 1,
+	}
+	return l
+}
+
+// peer returns the progress of a member, nil if it is none or this replica.
+func (c *core) peer(inc string) *progress {
+	if _, ok := c.members().get(inc); !ok || inc == c.self || c.role != Leader {
+		return nil
+	}
+	p, ok := c.leading.peers[inc]
+	if !ok {
+		p = &progress{state: Probe, next: c.log.lastIndex() + 1, heard: c.now}
+		c.leading.peers[inc] = p
+	}
+	return p
+}
+
+func (c *core) tickLeader() {
+	if !c.members().isVoter(c.self) && c.history.latest().index <= c.commit {
+		c.becomeFollower(c.state.term, "")
+		return
+	}
+	c.updateQuorum()
+	if c.now.Sub(c.leading.quorumTime) >= c.opt.Election {
+		// A majority is out of reach; others may have elected a new leader.
+		c.becomeFollower(c.state.term, "")
+		return
+	}
+	if c.full && c.othersCanWrite() {
+		c.becomeFollower(c.state.term, "")
+		return
+	}
+	if !c.now.Before(c.leading.heartbeat) {
+		c.beginRound()
+	}
+	c.maintainMembers()
+}
+
+// othersCanWrite tells whether a majority could go on without this replica.
+func (c *core) othersCanWrite() bool {
+	n := 0
+	for _, m := range c.members().voters() {
+		if p := c.peer(m.Incarnation); p != nil && !p.full && c.reachable(p) {
+			n++
+		}
+	}
+	return n >= c.members().quorum()
+}
+
+// reachable tells whether a peer answered lately.
+func (c *core) reachable(p *progress) bool { return c.now.Sub(p.heard) < c.opt.Election }
+
+// beginRound sends a heartbeat to every peer.
+func (c *core) beginRound() {
+	l := &c.leading
+	l.round++
+	l.rounds = append(l.rounds, round{l.round, c.now})
+	l.heartbeat = c.now.Add(c.opt.Heartbeat)
+	marks := c.ownMarks()
+	for _, m := range c.members() {
+		if p := c.peer(m.Incarnation); p != nil {
+			c.sendHeartbeat(m, p, marks)
+		}
+	}
+	c.updateQuorum()
+}
+
+func (c *core) sendHeartbeat(to Member, p *progress, marks []*wire.LogMark) {
+	p.paused = false
+	c.retryTransfer(to, p)
+	prev := p.next - 1
+	term, ok := c.log.term(prev)
+	if !ok {
+		// The peer needs a snapshot; any entry keeps its promise alive.
+		prev, term = c.log.base, c.log.baseTerm
+	}
+	m := c.message(wire.LogKind_LOG_KIND_APPEND, to)
+	m.Index, m.LogTerm, m.Commit = prev, term, c.commit
+	m.Round, m.Marks = c.leading.round, marks
+	c.send(m)
+}
+
+// updateQuorum finds the last round that a majority acknowledged and extends
+// the lease from the time that it was sent.
+func (c *core) updateQuorum() {
+	l := &c.leading
+	l.quorumRound = c.members().quorumValue(func(inc string) uint64 {
+		if inc == c.self {
+			return l.round
+		}
+		return c.peer(inc).round
+	})
+	for len(l.rounds) > 0 && l.rounds[0].number <= l.quorumRound {
+		l.quorumTime = l.rounds[0].sent
+		l.rounds = l.rounds[1:]
+	}
+	if l.quorumRound > 0 {
+		l.leaseDeadline = l.quorumTime.Add(c.opt.leaseTime())
+	}
+}
+
+// hasLease tells whether no other leader can have been elected by now.
+func (c *core) hasLease(now time.Time) bool {
+	return c.role == Leader && now.Before(c.leading.leaseDeadline)
+}
+
+// ready tells whether this leader has committed an entry of its own term, and
+// so knows all that earlier leaders committed.
+func (c *core) ready() bool {
+	return c.role == Leader && c.commit >= c.leading.termStart
+}
+
+// appendOwn adds an entry to the leader's log and returns its index.
+func (c *core) appendOwn(kind wire.LogEntryKind, data []byte) uint64 {
+	e := &wire.LogEntry{Term: c.state.term, Index: c.log.lastIndex() + 1, Kind: kind, Data: data}
+	c.log.append(e)
+	return e.GetIndex()
+}
+
+// propose appends a command.
+func (c *core) propose(data []byte) (uint64, error) {
+	switch {
+	case c.role != Leader:
+		return 0, &NotLeaderError{Leader: c.leaderName()}
+	case len(data) > c.opt.MaxCommandBytes:
+		return 0, ErrTooLarge
+	case c.full:
+		return 0, ErrDiskFull
+	case c.queued > 0 && c.queued+len(data)+entryOverhead > c.opt.MaxQueueBytes:
+		return 0, ErrBusy
+	}
+	c.queued += len(data) + entryOverhead
+	return c.appendOwn(wire.LogEntryKind_LOG_ENTRY_KIND_COMMAND, data), nil
+}
+
+func (c *core) leaderName() string {
+	m, _ := c.members().get(c.leader)
+	return m.Name
+}
+
+// replicate sends to each peer what it lacks, as far as its window allows.
+func (c *core) replicate() {
+	if c.role != Leader {
+		return
+	}
+	for _, m := range c.members() {
+		if p := c.peer(m.Incarnation); p != nil {
+			c.replicateTo(m, p)
+		}
+	}
+}
+
+func (c *core) replicateTo(to Member, p *progress) {
+	for p.state != Transfer && !p.paused && p.next <= c.log.lastIndex() && p.bytes < c.opt.InflightBytes {
+		if p.next <= c.log.base {
+			c.startTransfer(to, p)
+			return
+		}
+		c.sendEntries(to, p)
+	}
+}
+
+func (c *core) sendEntries(to Member, p *progress) {
+	entries := c.log.from(p.next, c.opt.AppendBytes)
+	m := c.message(wire.LogKind_LOG_KIND_APPEND, to)
+	m.Index, m.Commit, m.Entries = p.next-1, c.commit, entries
+	m.LogTerm, _ = c.log.term(p.next - 1)
+	c.send(m)
+	if p.state == Probe {
+		p.paused = true
+		return
+	}
+	size := 0
+	for _, e := range entries {
+		size += entryBytes(e)
+	}
+	p.next = entries[len(entries)-1].GetIndex() + 1
+	p.inflight = append(p.inflight, flight{p.next - 1, size})
+	p.bytes += size
+}
+
+func (c *core) stepAppendReply(m *wire.LogMessage) {
+	if m.GetTerm() > c.state.term {
+		c.becomeFollower(m.GetTerm(), "")
+		return
+	}
+	p := c.peer(m.GetFromIncarnation())
+	if p == nil || m.GetTerm() != c.state.term || m.GetBoot() < p.boot || p.refused {
+		return
+	}
+	p.boot, p.heard, p.full = m.GetBoot(), c.now, m.GetFull()
+	if m.GetRound() > p.round {
+		p.round = m.GetRound()
+		c.updateQuorum()
+	}
+	if m.GetReject() {
+		c.rejected(m, p)
+		return
+	}
+	if m.GetIndex() > c.log.lastIndex() {
+		return
+	}
+	p.acknowledge(m.GetIndex())
+	if p.state == Probe && m.GetIndex() > 0 {
+		p.state, p.paused = Replicate, false
+	}
+	c.marks.note(m.GetFromIncarnation(), m.GetBoot(), c.state.term, p.match)
+	c.advanceCommit()
+}
+
+func (c *core) rejected(m *wire.LogMessage, p *progress) {
+	if p.state == Transfer || m.GetIndex() <= p.match || m.GetIndex() >= p.next {
+		return
+	}
+	p.probe(m.GetHint() + 1)
+}
+
+// advanceCommit commits what a majority of the voters has on disk. Entries of
+// earlier terms are committed only along with one of the own term.
+func (c *core) advanceCommit() {
+	index := c.members().quorumValue(func(inc string) uint64 {
+		if inc == c.self {
+			return c.log.saved
+		}
+		return c.peer(inc).match
+	})
+	if index <= c.commit {
+		return
+	}
+	if term, ok := c.log.term(index); !ok || term != c.state.term {
+		return
+	}
+	for i := c.commit + 1; i <= index; i++ {
+		if e := c.log.at(i); e.GetTerm() == c.state.term && e.GetKind() == wire.LogEntryKind_LOG_ENTRY_KIND_COMMAND {
+			c.queued -= entryBytes(e)
+		}
+	}
+	c.commit = index
+}
--- /dev/null
+++ b/internal/replog/member.go
@@ -0,0 +1,207 @@
+package replog
+
+import (
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/knapweedlug/knapweedlug/internal/wire"
+)
+
+// MemberRole is the part a member plays in quorums.
+type MemberRole string
+
+// The roles of members.
+const (
+	Learner MemberRole = "learner" // receives the log, doesn't count
+	Voter   MemberRole = "voter"   // counts in elections and for commit
+)
+
+// Member is one replica in the membership. The incarnation, not the name,
+// tells members apart.
+type Member struct {
+	Name        string     `json:"name"`
+	Incarnation string     `json:"incarnation"`
+	Role        MemberRole `json:"role"`
+	// Replaces is the incarnation that leaves once this member votes.
+	Replaces string `json:"replaces,omitempty"`
+	// Promoted is the index of the entry that made this member a voter.
+	Promoted uint64 `json:"promoted,omitempty"`
+	// Repaired is the index of the entry that removed the member replaced.
+	Repaired uint64 `json:"repaired,omitempty"`
+}
+
+// WithPromotion returns the member as a voter from an index on. If the member
+// that it replaces is gone already, this completes the repair.
+func (m Member) WithPromotion(index uint64, oldGone bool) Member {
+	m.Role = Voter
+	m.Promoted = index
+	if m.Replaces != "" && oldGone {
+		return m.WithRepair(index)
+	}
+	return m
+}
+
+// WithRepair returns the member with its replacement completed at an index.
+func (m Member) WithRepair(index uint64) Member {
+	m.Replaces = ""
+	m.Repaired = index
+	return m
+}
+
+// Members is a membership. It is never changed in place.
+type Members []Member
+
+// WithMember returns the membership with a member added or replaced.
+func (ms Members) WithMember(m Member) Members {
+	out := slices.Clone(ms)
+	if i := ms.find(m.Incarnation); i >= 0 {
+		out[i] = m
+		return out
+	}
+	return append(out, m)
+}
+
+// Without returns the membership without an incarnation.
+func (ms Members) Without(inc string) Members {
+	return slices.DeleteFunc(slices.Clone(ms), func(m Member) bool { return m.Incarnation == inc })
+}
+
+func (ms Members) find(inc string) int {
+	return slices.IndexFunc(ms, func(m Member) bool { return m.Incarnation == inc })
+}
+
+func (ms Members) get(inc string) (Member, bool) {
+	i := ms.find(inc)
+	if i < 0 {
+		return Member{}, false
+	}
+	return ms[i], true
+}
+
+// lookup finds a member by name or incarnation.
+func (ms Members) lookup(key string) (Member, error) {
+	if m, ok := ms.get(key); ok {
+		return m, nil
+	}
+	var found []Member
+	for _, m := range ms {
+		if m.Name == key {
+			found = append(found, m)
+		}
+	}
+	switch len(found) {
+	case 0:
+		return Member{}, errors.Wrapf(ErrNoReplica, "%q", key)
+	case 1:
+		return found[0], nil
+	}
+	return Member{}, errors.Wrapf(ErrAmbiguous, "%q: %s and %s", key, found[0].Incarnation, found[1].Incarnation)
+}
+
+func (ms Members) isVoter(inc string) bool {
+	m, ok := ms.get(inc)
+	return ok && m.Role == Voter
+}
+
+func (ms Members) voters() []Member {
+	return slices.DeleteFunc(slices.Clone(ms), func(m Member) bool { return m.Role != Voter })
+}
+
+func (ms Members) quorum() int { return len(ms.voters())/2 + 1 }
+
+// quorumValue returns the highest value that a majority of voters has reached.
+func (ms Members) quorumValue(value func(inc string) uint64) uint64 {
+	voters := ms.voters()
+	if len(voters) == 0 {
+		return 0
+	}
+	values := make([]uint64, len(voters))
+	for i, m := range voters {
+		values[i] = value(m.Incarnation)
+	}
+	slices.Sort(values)
+	return values[len(values)-ms.quorum()]
+}
+
+func (ms Members) encode() ([]byte, error) {
+	return proto.MarshalOptions{Deterministic: true}.Marshal(ms.wire())
+}
+
+func (ms Members) wire() *wire.LogMembers {
+	out := &wire.LogMembers{}
+	for _, m := range ms {
+		role := wire.LogRole_LOG_ROLE_LEARNER
+		if m.Role == Voter {
+			role = wire.LogRole_LOG_ROLE_VOTER
+		}
+		out.Members = append(out.Members, &wire.LogMember{
+			Name: m.Name, Incarnation: m.Incarnation, Role: role, Replaces: m.Replaces, Promoted: m.Promoted,
+			Repaired: m.Repaired,
+		})
+	}
+	return out
+}
+
+func membersFromWire(w *wire.LogMembers) Members {
+	var out Members
+	for _, m := range w.GetMembers() {
+		role := Learner
+		if m.GetRole() == wire.LogRole_LOG_ROLE_VOTER {
+			role = Voter
+		}
+		out = append(out, Member{
+			Name: m.GetName(), Incarnation: m.GetIncarnation(), Role: role,
+			Replaces: m.GetReplaces(), Promoted: m.GetPromoted(),
+			Repaired: m.GetRepaired(),
+		})
+	}
+	return out
+}
+
+func decodeMembers(b []byte) (Members, error) {
+	w := &wire.LogMembers{}
+	if err := proto.Unmarshal(b, w); err != nil {
+		return nil, errors.Wrap(err, "decode membership")
+	}
+	return membersFromWire(w), nil
+}
+
+// membersAt is a membership and the entry that set it.
+type membersAt struct {
+	index   uint64
+	members Members
+}
+
+// memberHistory holds the memberships of the log, the latest one last. The
+// latest counts from when it is appended, committed or not.
+type memberHistory []membersAt
+
+func (h memberHistory) latest() membersAt {
+	if len(h) == 0 {
+		return membersAt{}
+	}
+	return h[len(h)-1]
+}
+
+// at returns the membership as of an index.
+func (h memberHistory) at(index uint64) membersAt {
+	for i := len(h) - 1; i >= 0; i-- {
+		if h[i].index <= index {
+			return h[i]
+		}
+	}
+	return membersAt{}
+}
+
+// truncated returns the history without memberships from an index on.
+func (h memberHistory) truncated(from uint64) memberHistory {
+	return slices.DeleteFunc(slices.Clone(h), func(m membersAt) bool { return m.index >= from })
+}
+
+// compacted returns the history from the membership as of an index on.
+func (h memberHistory) compacted(index uint64) memberHistory {
+	at := h.at(index)
+	return slices.DeleteFunc(slices.Clone(h), func(m membersAt) bool { return m.index < at.index })
+}
--- /dev/null
+++ b/internal/replog/node.go
@@ -0,0 +1,226 @@
+package replog
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/knapweedlug/knapweedlug/internal/store"
+	"github.com/knapweedlug/knapweedlug/internal/wire"
+)
+
+// Node is one replica of the log. It drives the protocol with the disk, the
+// transport, the clock and the state machine.
+type Node struct {
+	opt     Options
+	st      *store.Store
+	machine Machine
+	tr      Transport
+	log     *zap.Logger
+
+	mu      sync.Mutex
+	core    *core
+	term    uint64 // the term in which waiters and reads began
+	waiters map[uint64]*waiter
+	reads   []*readWaiter
+	stopped bool
+	// compactTo is the first index that the disk must keep.
+	compactTo uint64
+	refuse    string
+	snapshots snapshotState
+
+	wakeDisk  chan struct{}
+	wakeApply chan struct{}
+	wakePump  chan struct{}
+	wakeChunk chan struct{}
+	captured  chan capture
+}
+
+// New returns a node that continues from what the store holds, which includes
+// restoring the state machine from the snapshot. Run starts it.
+func New(opt Options, st *store.Store, m Machine, tr Transport, log *zap.Logger) (*Node, error) {
+	opt = opt.WithDefaults()
+	if err := opt.Validate(); err != nil {
+		return nil, err
+	}
+	core, err := newCore(opt, st.Identity(), st.Contents(), opt.Clock.Now())
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{
+		opt: opt, st: st, machine: m, tr: tr, log: log, core: core,
+		waiters:   make(map[uint64]*waiter),
+		wakeDisk:  make(chan struct{}, 1),
+		wakeApply: make(chan struct{}, 1),
+		wakePump:  make(chan struct{}, 1),
+		wakeChunk: make(chan struct{}, 1),
+		captured:  make(chan capture, 1),
+	}
+	if st.Snapshot() != nil {
+		if err := n.restoreMachine(); err != nil {
+			return nil, err
+		}
+	}
+	return n, nil
+}
+
+// Run takes part in the protocol until ctx is done or the disk fails.
+func (n *Node) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return n.runTicks(ctx) })
+	g.Go(func() error { return n.runPump(ctx) })
+	g.Go(func() error { return n.runDisk(ctx) })
+	g.Go(func() error { return n.runApply(ctx) })
+	g.Go(func() error { return n.runChunks(ctx) })
+	g.Go(func() error { return n.runSnapshots(ctx) })
+	err := g.Wait()
+	n.stop()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func (n *Node) stop() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.stopped = true
+	n.failWaiters(ErrUnknown, ErrStopped)
+}
+
+// Step takes a message from a peer.
+func (n *Node) Step(m *wire.LogMessage) {
+	n.update(func(c *core, now time.Time) { c.step(now, m) })
+}
+
+// update runs the protocol and passes on what it wants done.
+func (n *Node) update(f func(c *core, now time.Time)) {
+	n.mu.Lock()
+	f(n.core, n.opt.Clock.Now())
+	messages := n.settle()
+	n.mu.Unlock()
+	n.sendAll(messages)
+}
+
+// settle answers waiters, wakes the loops that have work, and returns what is
+// to be sent. The caller holds mu.
+func (n *Node) settle() []*wire.LogMessage {
+	c := n.core
+	if c.role != Leader || c.state.term != n.term {
+		n.failWaiters(ErrUnknown, &NotLeaderError{Leader: c.leaderName()})
+		n.term = c.state.term
+	}
+	n.settleReads()
+	if c.out.refuse != "" {
+		n.refuse, c.out.refuse = c.out.refuse, ""
+	}
+	if len(c.out.chunks) > 0 {
+		wake(n.wakeChunk)
+	}
+	if c.applied < c.commit || c.restore != nil {
+		wake(n.wakeApply)
+	}
+	if c.role == Leader {
+		wake(n.wakePump)
+	}
+	wake(n.wakeDisk)
+	messages := c.out.messages
+	c.out.messages = nil
+	return messages
+}
+
+func (n *Node) sendAll(messages []*wire.LogMessage) {
+	for _, m := range messages {
+		n.tr.Send(m.GetTo(), m)
+	}
+}
+
+func wake(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
+// wait returns false once ctx is done.
+func wait(ctx context.Context, ch chan struct{}) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-ch:
+		return true
+	}
+}
+
+// runTicks lets deadlines take effect, ten times in each heartbeat interval.
+func (n *Node) runTicks(ctx context.Context) error {
+	t := time.NewTicker(n.opt.Heartbeat / 10)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+			n.update(func(c *core, now time.Time) { c.tick(now) })
+		}
+	}
+}
+
+// runPump sends entries to peers. Proposals that come while it sends go
+// together with the next message.
+func (n *Node) runPump(ctx context.Context) error {
+	for wait(ctx, n.wakePump) {
+		n.mu.Lock()
+		n.core.advance(n.opt.Clock.Now())
+		if n.readsWantRound() {
+			n.core.beginRound()
+		}
+		n.core.replicate()
+		messages := n.core.out.messages
+		n.core.out.messages = nil
+		n.settleReads()
+		if len(n.core.out.chunks) > 0 {
+			wake(n.wakeChunk)
+		}
+		n.mu.Unlock()
+		n.sendAll(messages)
+	}
+	return ctx.Err()
+}
+
+// runChunks reads snapshot chunks for peers.
+func (n *Node) runChunks(ctx context.Context) error {
+	for wait(ctx, n.wakeChunk) {
+		n.mu.Lock()
+		requests := n.core.out.chunks
+		n.core.out.chunks = nil
+		n.mu.Unlock()
+		for _, r := range requests {
+			chunk, err := n.readChunk(r)
+			if err != nil {
+				n.log.Warn("snapshot chunk not read", zap.String("peer", r.to.Name), zap.Error(err))
+				continue
+			}
+			n.update(func(c *core, now time.Time) {
+				c.advance(now)
+				c.chunkRead(r.to, chunk)
+			})
+		}
+	}
+	return ctx.Err()
+}
+
+func (n *Node) readChunk(r chunkRequest) (*wire.LogChunk, error) {
+	if r.id != "" {
+		chunk, err := n.st.ReadChunk(r.id, r.offset, n.opt.ChunkBytes)
+		if !errors.Is(err, store.ErrNoSnapshot) {
+			return chunk, err
+		}
+		// A newer snapshot has taken its place.
+	}
+	return n.st.ReadChunk(n.st.Snapshot().GetId(), 0, n.opt.ChunkBytes)
+}
--- /dev/null
+++ b/internal/replog/propose.go
@@ -0,0 +1,208 @@
+package replog
+
+import (
+	"context"
+	"time"
+
+	"github.com/knapweedlug/knapweedlug/internal/wire"
+)
+
+// waiter waits for an entry to be applied.
+type waiter struct {
+	done chan outcome
+}
+
+type outcome struct {
+	result any
+	err    error
+}
+
+// readWaiter waits until the state machine is known to hold all that was
+// committed when the read began.
+type readWaiter struct {
+	index uint64 // 0 until the leader is ready
+	round uint64 // confirms leadership if the lease has run out
+	valid bool   // leadership was confirmed after the read began
+	done  chan outcome
+}
+
+// Propose appends a command and waits until it has been applied here. It
+// returns an ErrNotLeader, ErrBusy, ErrDiskFull or ErrTooLarge if the command
+// was not appended. After ErrUnknown, or if ctx ends, it may be applied yet.
+func (n *Node) Propose(ctx context.Context, cmd []byte) (index uint64, result any, err error) {
+	return n.proposeEntry(ctx, func(c *core) (uint64, error) { return c.propose(cmd) })
+}
+
+// AddLearner adds the replica that announced itself under a name. It receives
+// the log but doesn't vote until it is promoted.
+func (n *Node) AddLearner(ctx context.Context, name string) error {
+	_, _, err := n.proposeEntry(ctx, func(c *core) (uint64, error) { return c.addLearner(name, "") })
+	return err
+}
+
+// Promote makes a learner a voter. It returns ErrNotCaughtUp if the learner
+// doesn't hold on its disk all that is committed.
+func (n *Node) Promote(ctx context.Context, key string) error {
+	_, _, err := n.proposeEntry(ctx, func(c *core) (uint64, error) { return c.promote(key) })
+	return err
+}
+
+// Remove removes a member, given by its name or incarnation.
+func (n *Node) Remove(ctx context.Context, key string) error {
+	_, _, err := n.proposeEntry(ctx, func(c *core) (uint64, error) { return c.remove(key) })
+	return err
+}
+
+// Replace puts the replica that announced itself under a name in the place of
+// a member. It returns once that is agreed; the leader then promotes the new
+// member when it has caught up and removes the old one. Status shows how far
+// this repair is.
+func (n *Node) Replace(ctx context.Context, old, name string) error {
+	_, _, err := n.proposeEntry(ctx, func(c *core) (uint64, error) { return c.replace(old, name) })
+	return err
+}
+
+func (n *Node) proposeEntry(ctx context.Context, propose func(c *core) (uint64, error)) (uint64, any, error) {
+	w := &waiter{done: make(chan outcome, 1)}
+	index, err := n.enqueue(w, propose)
+	if err != nil {
+		return 0, nil, err
+	}
+	select {
+	case o := <-w.done:
+		return index, o.result, o.err
+	case <-ctx.Done():
+		n.mu.Lock()
+		if n.waiters[index] == w {
+			delete(n.waiters, index)
+		}
+		n.mu.Unlock()
+		return index, nil, ctx.Err()
+	}
+}
+
+func (n *Node) enqueue(w *waiter, propose func(c *core) (uint64, error)) (uint64, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.stopped {
+		return 0, ErrStopped
+	}
+	n.core.advance(n.opt.Clock.Now())
+	index, err := propose(n.core)
+	if err != nil {
+		return 0, err
+	}
+	n.waiters[index] = w
+	wake(n.wakePump)
+	wake(n.wakeDisk)
+	return index, nil
+}
+
+// answer hands results to the proposers. The caller holds mu.
+func (n *Node) answer(entries []*wire.LogEntry, results []any) {
+	for i, e := range entries {
+		if w, ok := n.waiters[e.GetIndex()]; ok {
+			delete(n.waiters, e.GetIndex())
+			w.done <- outcome{result: results[i]}
+		}
+	}
+}
+
+func (n *Node) failWaiters(proposals, reads error) {
+	for index, w := range n.waiters {
+		delete(n.waiters, index)
+		w.done <- outcome{err: proposals}
+	}
+	for _, r := range n.reads {
+		r.done <- outcome{err: reads}
+	}
+	n.reads = nil
+}
+
+// Read waits until this replica is known to be the leader, at some time after
+// the call, and its state machine to hold all that was committed then. It
+// returns the index up to which that is.
+func (n *Node) Read(ctx context.Context) (index uint64, err error) {
+	r := &readWaiter{done: make(chan outcome, 1)}
+	if err := n.enqueueRead(r); err != nil {
+		return 0, err
+	}
+	select {
+	case o := <-r.done:
+		return r.index, o.err
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+}
+
+func (n *Node) enqueueRead(r *readWaiter) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.stopped {
+		return ErrStopped
+	}
+	if n.core.role != Leader {
+		return &NotLeaderError{Leader: n.core.leaderName()}
+	}
+	n.core.advance(n.opt.Clock.Now())
+	r.round = n.core.leading.round + 1
+	n.reads = append(n.reads, r)
+	n.settleReads()
+	if n.readsWantRound() {
+		wake(n.wakePump)
+	}
+	return nil
+}
+
+func (n *Node) readsWantRound() bool {
+	for _, r := range n.reads {
+		if !r.valid && r.round > n.core.leading.round {
+			return n.core.role == Leader
+		}
+	}
+	return false
+}
+
+// settleReads answers the reads that may be answered. The caller holds mu.
+func (n *Node) settleReads() {
+	now := n.opt.Clock.Now()
+	kept := n.reads[:0]
+	for _, r := range n.reads {
+		if !n.settleRead(r, now) {
+			kept = append(kept, r)
+		}
+	}
+	clear(n.reads[len(kept):])
+	n.reads = kept
+}
+
+func (n *Node) settleRead(r *readWaiter, now time.Time) bool {
+	c := n.core
+	if r.index == 0 && c.ready() {
+		r.index = c.commit
+	}
+	r.valid = r.valid || c.hasLease(now) || c.leading.quorumRound >= r.round
+	if r.index == 0 || !r.valid || c.applied < r.index {
+		return false
+	}
+	r.done <- outcome{}
+	return true
+}
+
+// View runs f, which reads the state machine, between a Read and a check that
+// the lease still holds. A leader that was cut off or frozen meanwhile
+// returns an ErrNotLeader, and what f found must not be used.
+func (n *Node) View(ctx context.Context, f func() error) error {
+	if _, err := n.Read(ctx); err != nil {
+		return err
+	}
+	if err := f(); err != nil {
+		return err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.core.hasLease(n.opt.Clock.Now()) {
+		return &NotLeaderError{}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/replog/status.go
@@ -0,0 +1,143 @@
+package replog
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Status is the state of a node, for dumps and operators.
+type Status struct {
+	Name        string       `json:"name"`
+	Cluster     string       `json:"cluster"`
+	Incarnation string       `json:"incarnation"`
+	Boot        uint64       `json:"boot"`
+	Role        Role         `json:"role"`
+	Term        uint64       `json:"term"`
+	Leader      string       `json:"leader"` // name, empty if unknown
+	Commit      uint64       `json:"commit"`
+	Applied     uint64       `json:"applied"`
+	Saved       uint64       `json:"saved"` // last entry on the own disk
+	Last        uint64       `json:"last"`
+	First       uint64       `json:"first"` // first entry that is held
+	LogBytes    int          `json:"logBytes"`
+	Snapshot    uint64       `json:"snapshot"`          // index of the latest snapshot
+	Lease       time.Time    `json:"lease"`             // until when a leader answers reads by itself
+	Vouched     bool         `json:"vouched"`           // the replica may vote
+	DiskFull    bool         `json:"diskFull"`          // nothing is acknowledged meanwhile
+	Refused     string       `json:"refused,omitempty"` // why the folder may never vote again
+	Members     []Member     `json:"members"`
+	Peers       []PeerStatus `json:"peers,omitempty"`   // on the leader
+	Repairs     []Repair     `json:"repairs,omitempty"` // on the leader
+	Waiting     []Announced  `json:"waiting,omitempty"` // replicas that could be added
+}
+
+// PeerStatus is what a leader knows of a peer.
+type PeerStatus struct {
+	Name        string    `json:"name"`
+	Incarnation string    `json:"incarnation"`
+	State       PeerState `json:"state"`
+	Match       uint64    `json:"match"`
+	Next        uint64    `json:"next"`
+	Inflight    int       `json:"inflight"` // bytes
+	Heard       time.Time `json:"heard"`
+	DiskFull    bool      `json:"diskFull"`
+	Refused     bool      `json:"refused"` // has lost acknowledged entries; doesn't count
+	Sent        uint64    `json:"sent,omitempty"`
+	Size        uint64    `json:"size,omitempty"` // of the snapshot on its way
+}
+
+// Repair is the replacement of a member. While Done is false, the loss of
+// another host may stop the cluster.
+type Repair struct {
+	Name        string      `json:"name"`
+	Incarnation string      `json:"incarnation"`
+	Replaces    string      `json:"replaces,omitempty"`
+	State       RepairState `json:"state"`
+	Done        bool        `json:"done"`
+	Match       uint64      `json:"match"` // entries that the new member holds on disk
+	Commit      uint64      `json:"commit"`
+	At          uint64      `json:"at,omitempty"` // index of the entry that ended it
+}
+
+// Announced is a replica that belongs to no membership.
+type Announced struct {
+	Name        string    `json:"name"`
+	Incarnation string    `json:"incarnation"`
+	Heard       time.Time `json:"heard"`
+}
+
+// Status returns the node's state.
+func (n *Node) Status() Status {
+	id := n.st.Identity()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c := n.core
+	s := Status{
+		Name: id.Name, Cluster: id.Cluster, Incarnation: id.Incarnation, Boot: id.Boot,
+		Role: c.role, Term: c.state.term, Leader: c.leaderName(),
+		Commit: c.commit, Applied: c.applied, Saved: c.log.saved,
+		Last: c.log.lastIndex(), First: c.log.base + 1, LogBytes: c.log.bytes,
+		Snapshot: n.st.Snapshot().GetIndex(),
+		Lease:    c.leading.leaseDeadline, Vouched: c.hello.vouched, DiskFull: c.full,
+		Refused: id.Refused, Members: c.members(),
+		Waiting: c.waiting(),
+	}
+	if c.role == Leader {
+		s.Peers = c.peerStatus()
+		s.Repairs = c.repairs()
+	}
+	return s
+}
+
+func (c *core) peerStatus() []PeerStatus {
+	var list []PeerStatus
+	for _, m := range c.members() {
+		p := c.peer(m.Incarnation)
+		if p == nil {
+			continue
+		}
+		s := PeerStatus{
+			Name: m.Name, Incarnation: m.Incarnation, State: p.state, Match: p.match, Next: p.next,
+			Inflight: p.bytes, Heard: p.heard, DiskFull: p.full, Refused: p.refused,
+		}
+		if p.state == Transfer {
+			s.Sent, s.Size = p.transfer.offset, p.transfer.snapshot.GetSize()
+		}
+		list = append(list, s)
+	}
+	return list
+}
+
+func (c *core) repairs() []Repair {
+	var list []Repair
+	for _, m := range c.members() {
+		if m.Replaces == "" && m.Repaired == 0 {
+			continue
+		}
+		state := c.repairState(m)
+		r := Repair{
+			Name: m.Name, Incarnation: m.Incarnation, Replaces: m.Replaces,
+			State: state, Done: state == Repaired, Match: c.log.saved, Commit: c.commit, At: m.Repaired,
+		}
+		if p := c.peer(m.Incarnation); p != nil {
+			r.Match = p.match
+		}
+		list = append(list, r)
+	}
+	return list
+}
+
+// waiting returns the replicas that announced themselves lately and belong to
+// no membership.
+func (c *core) waiting() []Announced {
+	var list []Announced
+	for name, a := range c.hello.announced {
+		_, member := c.members().get(a.incarnation)
+		if !a.formed && !member && c.now.Sub(a.heard) < c.opt.Election {
+			list = append(list, Announced{Name: name, Incarnation: a.incarnation, Heard: a.heard})
+		}
+	}
+	slices.SortFunc(list, func(a, b Announced) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
--- a/internal/store/log.go
+++ b/internal/store/log.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"sort"
@@ -52,12 +53,9 @@
 	if err != nil {
 		return err
 	}
-	if err := writeFile(l.fs, name, b); err != nil {
+	if err := l.create(name, b); err != nil {
 		return err
 	}
-	if err := l.fs.SyncDir(); err != nil {
-		return errors.Wrap(err, "sync data folder")
-	}
 	f, err := l.fs.Open(name, false)
 	if err != nil {
 		return errors.Wrapf(err, "open %s", name)
@@ -75,6 +73,15 @@
 	return nil
 }
 
+// create writes a segment's head. A file that couldn't be completed is
+// removed, because only the last segment may be torn.
+func (l *logFiles) create(name string, head []byte) error {
+	if err := writeFile(l.fs, name, head); err != nil {
+		return errors.CombineErrors(err, l.fs.Remove(name))
+	}
+	return errors.Wrap(l.fs.SyncDir(), "sync data folder")
+}
+
 func (l *logFiles) markList() []*wire.LogMark {
 	list := make([]*wire.LogMark, 0, len(l.marks))
 	for _, m := range l.marks {
@@ -155,6 +162,9 @@
 			return err
 		}
 	}
+	if f.GetState() != nil {
+		l.state = f.GetState()
+	}
 	return l.begin(first)
 }
 
@@ -165,7 +175,10 @@
 			return err
 		}
 	}
-	return l.begin(first)
+	if err := l.begin(first); err != nil {
+		return err
+	}
+	return l.compact(first)
 }
 
 func (l *logFiles) dropLast() error {
@@ -255,10 +268,10 @@
 			if err := l.checkHead(name, f.GetSegment()); err != nil {
 				return nil, err
 			}
+			entries = before(entries, first)
+			l.last = first - 1
 		}
-		if entries, err = join(entries, f.GetEntries()); err != nil {
-			return nil, &CorruptError{File: name, Offset: int64(off), Reason: err.Error()}
-		}
+		entries = join(entries, f.GetEntries())
 		l.note(f)
 		off += size
 	}
@@ -308,19 +321,25 @@
 	return nil
 }
 
-// join adds entries to a log; they replace those from their index on.
-func join(log, entries []*wire.LogEntry) ([]*wire.LogEntry, error) {
+// before returns the entries with an index below first.
+func before(entries []*wire.LogEntry, first uint64) []*wire.LogEntry {
+	i, _ := slices.BinarySearchFunc(entries, first, func(e *wire.LogEntry, index uint64) int {
+		return cmp.Compare(e.GetIndex(), index)
+	})
+	return entries[:i]
+}
+
+// join adds entries to a log; they replace those from their index on. If
+// they don't follow, a snapshot covers what lies between, which checkGap
+// verifies.
+func join(log, entries []*wire.LogEntry) []*wire.LogEntry {
 	if len(entries) == 0 {
-		return log, nil
+		return log
 	}
 	first := entries[0].GetIndex()
-	if len(log) == 0 || first < log[0].GetIndex() {
-		return entries, nil
-	}
-	next := log[len(log)-1].GetIndex() + 1
-	if first > next {
-		// The entries between are covered by a snapshot; checkGap verifies.
-		return entries, nil
+	log = before(log, first)
+	if n := len(log); n > 0 && log[n-1].GetIndex()+1 != first {
+		return entries
 	}
-	return append(log[:first-log[0].GetIndex()], entries...), nil
+	return append(log, entries...)
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -126,6 +126,13 @@
 	if err := checkGap(entries, s.snapshot); err != nil {
 		return err
 	}
+	if !holds(entries, s.snapshot) {
+		// The crash came between a snapshot's arrival and the log's reset.
+		entries = nil
+		if err := s.log.reset(s.snapshot.GetIndex() + 1); err != nil {
+			return err
+		}
+	}
 	s.contents = Contents{
 		State: s.log.state, Entries: entries, Marks: s.log.markList(), Snapshot: s.snapshot,
 	}
@@ -143,6 +150,19 @@
 	return nil
 }
 
+// holds tells whether the log agrees with the snapshot where both reach.
+func holds(entries []*wire.LogEntry, snap *wire.LogSnapshot) bool {
+	if snap == nil {
+		return true
+	}
+	for _, e := range entries {
+		if e.GetIndex() == snap.GetIndex() {
+			return e.GetTerm() == snap.GetTerm()
+		}
+	}
+	return len(entries) > 0 && entries[0].GetIndex() > snap.GetIndex()
+}
+
 // Contents returns what the folder held when it was opened.
 func (s *Store) Contents() Contents { return s.contents }
 
