--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -80,3 +80,6 @@
 	}
 	return err
 }
+
+// Message is a protobuf message.
+type Message = proto.Message
--- a/internal/wire/method.go
+++ b/internal/wire/method.go
@@ -8,7 +8,6 @@
 	MethodSettle = "settle" // agent or entry to control: outcome of a claim
 	MethodAPI    = "api"    // entry to control: an operator's request
 	MethodRead   = "read"   // control to control: linearizable read index
-	MethodNodes  = "nodes"  // control to control: nodes that it serves
 	MethodLog    = "log"    // control to control: messages of the replicated log
 	MethodGrant  = "grant"  // agent to entry: credits and demand
 	MethodWork   = "work"   // entry to agent: one request
--- a/internal/wire/phase.go
+++ b/internal/wire/phase.go
@@ -2,7 +2,7 @@
 
 // Phases of a Task.
 const (
-	PhaseHold = "hold" // take a lease, start nothing
+	PhaseHold = "prepare" // take a lease, start nothing
 	PhaseRun  = "run"  // start under the lease that is held
 	PhaseStop = "stop" // checkpoint, then stop
 )
