--- /dev/null
+++ b/internal/place/cost.go
@@ -0,0 +1,84 @@
+package place
+
+import "cmp"
+
+// Sizes and weights of the future shapes that a placement should leave whole:
+// a worker's part, and pairs and eights of whole workers in a rack or domain.
+const (
+	pairInRack     = 2
+	eightInDomain  = 8
+	weightWorker   = 16
+	weightRack     = 16
+	weightDomain   = 8
+	weightPart     = 1
+	speedPenalty   = 4
+	referenceSpeed = 1.0
+)
+
+var partSizes = [...]int{1, 2, 4}
+
+// cost orders places: the lower, the better.
+type cost struct {
+	loss  float64 // future shapes lost, weighted
+	left  int     // accelerators that stay free on the chosen workers
+	slow  float64 // the slowest member's speed, negated
+	first string  // name of the first worker, so that ties break the same way
+}
+
+func (c cost) compare(o cost) int {
+	return cmp.Or(
+		cmp.Compare(c.loss, o.loss),
+		cmp.Compare(c.left, o.left),
+		cmp.Compare(c.slow, o.slow),
+		cmp.Compare(c.first, o.first),
+	)
+}
+
+func (c cost) less(o cost) bool { return c.compare(o) < 0 }
+
+func (c cost) add(o cost) cost {
+	if c.first == "" {
+		return o
+	}
+	spread := max(c.slow, o.slow) - min(c.slow, o.slow)
+	c.loss += o.loss + spread*speedPenalty
+	c.left += o.left
+	c.slow = max(c.slow, o.slow)
+	return c
+}
+
+// nodeCost returns the cost of taking that many accelerators of the worker.
+func (f *Fleet) nodeCost(n *node, v, accels int) cost {
+	free := n.free[v].Accels
+	switch f.policy {
+	case FirstFit:
+		return cost{first: n.w.Name}
+	case BestFit:
+		return cost{left: free - accels, first: n.w.Name}
+	}
+	c := cost{left: free - accels, slow: -n.w.Speed, first: n.w.Name}
+	if accels == 0 {
+		// Work without accelerators goes to workers without, where it can.
+		c.loss = float64(n.cap.Accels)
+		c.left = n.free[v].Cores
+		return c
+	}
+	c.loss = float64(partLoss(free, accels)) + weightPart*float64(free-accels)/float64(max(n.cap.Accels, 1))
+	if n.whole(v) {
+		k, d := n.rack.whole[v], n.domain.whole[v]
+		c.loss += weightWorker * (1 - float64(accels)/float64(n.cap.Accels))
+		c.loss += weightRack * float64(k/pairInRack-(k-1)/pairInRack)
+		c.loss += weightDomain * float64(d/eightInDomain-(d-1)/eightInDomain)
+	}
+	return c
+}
+
+// partLoss counts the parts of a worker that fit before and no longer after,
+// beyond those that any placement of that size costs.
+func partLoss(free, accels int) int {
+	lost := 0
+	for _, size := range partSizes {
+		lost += size * (free/size - (free-accels)/size - accels/size)
+	}
+	return lost
+}
--- /dev/null
+++ b/internal/place/fleet.go
@@ -0,0 +1,286 @@
+package place
+
+import (
+	"slices"
+
+	"github.com/google/btree"
+
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+// Fleet indexes the workers and what is taken on each. It isn't safe for
+// concurrent use.
+type Fleet struct {
+	policy  Policy
+	nodes   map[string]*node
+	pools   []*pool // in the order of their keys
+	racks   map[string]*group
+	domains map[string]*group
+	byRack  [viewCount]*btree.BTreeG[rackEntry]
+	freed   uint64
+}
+
+type rackEntry struct {
+	accels int
+	name   string
+	g      *group
+}
+
+func rackLess(a, b rackEntry) bool {
+	if a.accels != b.accels {
+		return a.accels < b.accels
+	}
+	return a.name < b.name
+}
+
+// New returns an empty fleet whose searches follow the policy.
+func New(policy Policy) *Fleet {
+	f := &Fleet{
+		policy:  policy,
+		nodes:   make(map[string]*node),
+		racks:   make(map[string]*group),
+		domains: make(map[string]*group),
+	}
+	for v := range f.byRack {
+		f.byRack[v] = btree.NewG(btreeDegree, rackLess)
+	}
+	return f
+}
+
+// SetWorker adds or replaces a worker. What is taken on it stays taken. Only a
+// ready worker is found by searches.
+func (f *Fleet) SetWorker(w model.Worker) {
+	n, ok := f.nodes[w.Name]
+	if !ok {
+		n = newNode(w)
+		f.nodes[w.Name] = n
+	}
+	f.unindex(n)
+	n.w = w
+	n.cap = Capacity(w)
+	f.index(n)
+	f.freed++
+}
+
+// DropWorker removes a worker.
+func (f *Fleet) DropWorker(name string) {
+	n, ok := f.nodes[name]
+	if !ok {
+		return
+	}
+	f.unindex(n)
+	delete(f.nodes, name)
+}
+
+// Worker returns the worker of that name.
+func (f *Fleet) Worker(name string) (model.Worker, bool) {
+	n, ok := f.nodes[name]
+	if !ok {
+		return model.Worker{}, false
+	}
+	return n.w, true
+}
+
+// Len returns the number of workers.
+func (f *Fleet) Len() int { return len(f.nodes) }
+
+// Freed counts the changes that may have made room. A search that failed needs
+// no second try while the count stands still.
+func (f *Fleet) Freed() uint64 { return f.freed }
+
+// Touch counts a change outside the fleet that may have made room.
+func (f *Fleet) Touch() { f.freed++ }
+
+// Take enters need for every member of the cells in the layer.
+func (f *Fleet) Take(l Layer, cells []Cell, need Need) {
+	for _, c := range cells {
+		f.change(l, c.Worker, need.Times(c.Count))
+	}
+}
+
+// Give removes what Take has entered.
+func (f *Fleet) Give(l Layer, cells []Cell, need Need) {
+	if l != Reserved {
+		f.freed++
+	}
+	for _, c := range cells {
+		f.change(l, c.Worker, need.Times(-c.Count))
+	}
+}
+
+func (f *Fleet) change(l Layer, worker string, by Need) {
+	n, ok := f.nodes[worker]
+	if !ok {
+		n = newNode(model.Worker{Name: worker, State: model.WorkerLost})
+		f.nodes[worker] = n
+	}
+	at := n.layer(l)
+	*at = at.Add(by)
+	f.refresh(n)
+}
+
+// Free returns what is free on the worker in the view, whatever its state. It
+// is negative where more is promised than the worker has.
+func (f *Fleet) Free(worker string, v View) Need {
+	n, ok := f.nodes[worker]
+	if !ok {
+		return Need{}
+	}
+	return n.freeIn(v)
+}
+
+// Scopes returns the names of the ready workers that may hold a member of the
+// shape, grouped by the scopes that a gang of it must lie within.
+func (f *Fleet) Scopes(s model.Shape) [][]string {
+	var keys []string
+	groups := make(map[string][]string)
+	for _, n := range f.nodes {
+		if !n.indexed || !NeedOf(s).Fits(n.cap) || (s.Kind != "" && s.Kind != n.w.Kind) {
+			continue
+		}
+		key := ScopeOf(s.Near, n.w)
+		if groups[key] == nil {
+			keys = append(keys, key)
+		}
+		groups[key] = append(groups[key], n.w.Name)
+	}
+	slices.Sort(keys)
+	scopes := make([][]string, 0, len(keys))
+	for _, key := range keys {
+		slices.Sort(groups[key])
+		scopes = append(scopes, groups[key])
+	}
+	return scopes
+}
+
+// ScopeOf names the scope of a level of adjacency that the worker lies in.
+func ScopeOf(near model.Near, w model.Worker) string {
+	switch near {
+	case model.NearWorker:
+		return w.Name
+	case model.NearRack:
+		return w.Region + "/" + w.Domain + "/" + w.Rack
+	case model.NearDomain:
+		return w.Region + "/" + w.Domain
+	default:
+		return w.Region
+	}
+}
+
+// Unused returns what running members leave free on the worker, claims and
+// reservations aside.
+func (f *Fleet) Unused(worker string) Need {
+	n, ok := f.nodes[worker]
+	if !ok {
+		return Need{}
+	}
+	return n.cap.Sub(n.running)
+}
+
+func (f *Fleet) poolOf(w model.Worker) *pool {
+	key := poolKey{w.Region, w.Domain, w.Kind, w.Speed, w.Accels}
+	at, ok := slices.BinarySearchFunc(f.pools, key, func(p *pool, k poolKey) int { return p.key.compare(k) })
+	if !ok {
+		f.pools = slices.Insert(f.pools, at, newPool(key))
+	}
+	return f.pools[at]
+}
+
+func groupOf(m map[string]*group, name, region string) *group {
+	key := region + "/" + name
+	g, ok := m[key]
+	if !ok {
+		g = newGroup(key, region)
+		m[key] = g
+	}
+	return g
+}
+
+// index enters a ready worker; for any other it does nothing.
+func (f *Fleet) index(n *node) {
+	if n.w.State != model.WorkerReady {
+		return
+	}
+	n.indexed = true
+	n.pool = f.poolOf(n.w)
+	n.pool.count++
+	n.rack = groupOf(f.racks, n.w.Domain+"/"+n.w.Rack, n.w.Region)
+	n.domain = groupOf(f.domains, n.w.Domain, n.w.Region)
+	n.rack.nodes[n.w.Name] = n
+	n.domain.nodes[n.w.Name] = n
+	for i, v := range allViews {
+		n.free[i] = n.freeIn(v)
+		f.enter(n, i, 1)
+	}
+}
+
+func (f *Fleet) unindex(n *node) {
+	if !n.indexed {
+		return
+	}
+	n.indexed = false
+	for i := range allViews {
+		f.enter(n, i, -1)
+	}
+	n.pool.count--
+	delete(n.rack.nodes, n.w.Name)
+	delete(n.domain.nodes, n.w.Name)
+}
+
+// refresh moves a worker in the views that have changed.
+func (f *Fleet) refresh(n *node) {
+	if !n.indexed {
+		return
+	}
+	for i, v := range allViews {
+		free := n.freeIn(v)
+		if free == n.free[i] {
+			continue
+		}
+		f.enter(n, i, -1)
+		n.free[i] = free
+		f.enter(n, i, 1)
+	}
+}
+
+// enter adds the worker to one view of the index, or removes it for sign -1.
+func (f *Fleet) enter(n *node, v, sign int) {
+	if sign > 0 {
+		n.pool.insert(n, v)
+	} else {
+		n.pool.remove(n, v)
+	}
+	n.domain.add(n, v, sign)
+	n.rack.add(n, v, sign)
+	f.byRack[v].Delete(rackEntry{n.rack.slot[v], n.rack.name, nil})
+	n.rack.slot[v] = n.rack.accels[v]
+	f.byRack[v].ReplaceOrInsert(rackEntry{n.rack.slot[v], n.rack.name, n.rack})
+}
+
+// FreeAccels returns the accelerators that no running or claimed work uses.
+func (f *Fleet) FreeAccels() int {
+	sum := 0
+	for _, g := range f.domains {
+		sum += g.accels[Soft.index()]
+	}
+	return sum
+}
+
+// Count returns how many gangs of the shape fit into what running and claimed
+// work leaves free. Only accelerators are counted.
+func (f *Fleet) Count(s model.Shape) int {
+	rooms := make(map[string]int)
+	need := Need{Accels: s.Accels}
+	for _, n := range f.nodes {
+		if !n.indexed || (s.Kind != "" && s.Kind != n.w.Kind) {
+			continue
+		}
+		free := n.free[Soft.index()].Accels
+		rooms[ScopeOf(s.Near, n.w)] += need.Into(Need{Accels: max(free, 0)}, free)
+	}
+	sum := 0
+	for _, room := range rooms {
+		sum += room / s.Members
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/place/pool.go
@@ -0,0 +1,89 @@
+package place
+
+import (
+	"cmp"
+
+	"github.com/google/btree"
+)
+
+const btreeDegree = 16
+
+// poolKey names workers that are alike.
+type poolKey struct {
+	region string
+	domain string
+	kind   string
+	speed  float64
+	accels int
+}
+
+func (k poolKey) compare(o poolKey) int {
+	return cmp.Or(
+		cmp.Compare(k.region, o.region),
+		cmp.Compare(k.domain, o.domain),
+		cmp.Compare(o.speed, k.speed),
+		cmp.Compare(k.kind, o.kind),
+		cmp.Compare(k.accels, o.accels),
+	)
+}
+
+// entry is a worker in the index, ordered by free cores.
+type entry struct {
+	cores int
+	name  string
+	n     *node
+}
+
+func entryLess(a, b entry) bool {
+	if a.cores != b.cores {
+		return a.cores < b.cores
+	}
+	return a.name < b.name
+}
+
+// pool indexes workers that are alike by free accelerators, then free cores.
+type pool struct {
+	key   poolKey
+	views [viewCount][]*btree.BTreeG[entry]
+	count int
+}
+
+func newPool(key poolKey) *pool {
+	p := &pool{key: key}
+	for v := range p.views {
+		p.views[v] = make([]*btree.BTreeG[entry], key.accels+1)
+		for a := range p.views[v] {
+			p.views[v][a] = btree.NewG(btreeDegree, entryLess)
+		}
+	}
+	return p
+}
+
+func (p *pool) bucket(n *node, v int) *btree.BTreeG[entry] {
+	return p.views[v][min(max(n.free[v].Accels, 0), p.key.accels)]
+}
+
+func (p *pool) insert(n *node, v int) {
+	p.bucket(n, v).ReplaceOrInsert(entry{n.free[v].Cores, n.w.Name, n})
+}
+
+func (p *pool) remove(n *node, v int) {
+	p.bucket(n, v).Delete(entry{n.free[v].Cores, n.w.Name, n})
+}
+
+// scan calls visit for workers with room for need, from the fewest free
+// accelerators on, until visit returns false.
+func (p *pool) scan(v int, need Need, visit func(*node) bool) {
+	for a := need.Accels; a <= p.key.accels; a++ {
+		more := true
+		p.views[v][a].AscendGreaterOrEqual(entry{cores: need.Cores}, func(e entry) bool {
+			if need.Fits(e.n.free[v]) {
+				more = visit(e.n)
+			}
+			return more
+		})
+		if !more {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/place/search.go
@@ -0,0 +1,257 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+// Candidates that a gradient search weighs in one pool or index of racks.
+const maxCandidates = 32
+
+// Query asks for room for all members of a shape.
+type Query struct {
+	Shape  model.Shape
+	View   View
+	Avoid  func(worker string) bool // optional: workers to leave out
+	Beside string                   // optional: only the scope of the shape that holds this worker
+}
+
+func (q Query) need() Need { return NeedOf(q.Shape) }
+
+func (q Query) kind(kind string) bool { return q.Shape.Kind == "" || q.Shape.Kind == kind }
+
+func (q Query) avoids(n *node) bool { return q.Avoid != nil && q.Avoid(n.w.Name) }
+
+// room returns how many members go onto the worker.
+func (q Query) room(n *node) int {
+	if !q.kind(n.w.Kind) || q.avoids(n) {
+		return 0
+	}
+	return q.need().Into(n.free[q.View.index()], q.Shape.Members)
+}
+
+// Find chooses workers for all members of the shape. It reports false where
+// the whole shape finds no room; it never returns a part.
+func (f *Fleet) Find(q Query) ([]Cell, bool) {
+	if q.Shape.Members < 1 {
+		return nil, false
+	}
+	if q.Beside != "" {
+		return f.findBeside(q)
+	}
+	switch q.Shape.Near {
+	case model.NearWorker:
+		return f.findWorker(q)
+	case model.NearRack:
+		return f.findRack(q)
+	default:
+		return f.findWide(q)
+	}
+}
+
+func (f *Fleet) limit() int {
+	if f.policy == Gradient {
+		return maxCandidates
+	}
+	return len(f.nodes)
+}
+
+func (f *Fleet) findWorker(q Query) ([]Cell, bool) {
+	total := q.need().Times(q.Shape.Members)
+	v := q.View.index()
+	var best *node
+	var least cost
+	for _, p := range f.pools {
+		if !q.kind(p.key.kind) || total.Accels > p.key.accels {
+			continue
+		}
+		left := f.limit()
+		p.scan(v, total, func(n *node) bool {
+			if q.avoids(n) {
+				return true
+			}
+			c := f.nodeCost(n, v, total.Accels)
+			if best == nil || c.less(least) {
+				best, least = n, c
+			}
+			left--
+			return left > 0
+		})
+	}
+	if best == nil {
+		return nil, false
+	}
+	return []Cell{{best.w.Name, q.Shape.Members}}, true
+}
+
+func (f *Fleet) findRack(q Query) ([]Cell, bool) {
+	var best []Cell
+	var least cost
+	left := f.limit()
+	from := rackEntry{accels: q.Shape.TotalAccels()}
+	f.byRack[q.View.index()].AscendGreaterOrEqual(from, func(e rackEntry) bool {
+		cells, c, ok := f.fill(q, e.g.sorted())
+		if !ok {
+			return true
+		}
+		if best == nil || c.less(least) {
+			best, least = cells, c
+		}
+		left--
+		return left > 0
+	})
+	return best, best != nil
+}
+
+// findBeside searches only the rack, failure domain or region of one worker.
+func (f *Fleet) findBeside(q Query) ([]Cell, bool) {
+	n, ok := f.nodes[q.Beside]
+	if !ok {
+		return nil, false
+	}
+	var cells []Cell
+	switch q.Shape.Near {
+	case model.NearWorker:
+		if !n.indexed {
+			return nil, false
+		}
+		cells, _, ok = f.fill(q, []*node{n})
+	case model.NearRack:
+		g := groupOf(f.racks, n.w.Domain+"/"+n.w.Rack, n.w.Region)
+		cells, _, ok = f.fill(q, g.sorted())
+	default:
+		cells, _, ok = f.fillPools(q, f.scopePools(q, n.w))
+	}
+	return cells, ok
+}
+
+func (f *Fleet) scopePools(q Query, w model.Worker) []*pool {
+	var pools []*pool
+	for _, p := range f.pools {
+		near := p.key.region == w.Region && (q.Shape.Near != model.NearDomain || p.key.domain == w.Domain)
+		if near && q.kind(p.key.kind) && q.Shape.Accels <= p.key.accels {
+			pools = append(pools, p)
+		}
+	}
+	return pools
+}
+
+// findWide places a gang within one failure domain or one region.
+func (f *Fleet) findWide(q Query) ([]Cell, bool) {
+	var best []Cell
+	var least cost
+	for _, pools := range f.scopes(q) {
+		cells, c, ok := f.fillPools(q, pools)
+		if ok && (best == nil || c.less(least)) {
+			best, least = cells, c
+		}
+	}
+	return best, best != nil
+}
+
+// scopes returns the sets of pools that may hold the gang: each pool of equal
+// workers by itself, and each domain or region with workers of any speed.
+func (f *Fleet) scopes(q Query) [][]*pool {
+	var sets [][]*pool
+	var wide []*pool
+	var last string
+	for _, p := range f.pools {
+		if p.count == 0 || !q.kind(p.key.kind) || q.Shape.Accels > p.key.accels {
+			continue
+		}
+		scope := p.key.region
+		if q.Shape.Near == model.NearDomain {
+			scope += "/" + p.key.domain
+		}
+		if scope != last {
+			sets = appendWide(sets, wide)
+			wide, last = nil, scope
+		}
+		wide = append(wide, p)
+		sets = append(sets, []*pool{p})
+	}
+	return appendWide(sets, wide)
+}
+
+func appendWide(sets [][]*pool, wide []*pool) [][]*pool {
+	if len(wide) < 2 {
+		return sets
+	}
+	return append(sets, wide)
+}
+
+func (f *Fleet) fillPools(q Query, pools []*pool) ([]Cell, cost, bool) {
+	var ns []*node
+	for _, p := range pools {
+		room, most := 0, 2*q.Shape.Members+maxCandidates
+		if f.policy != Gradient {
+			most = len(f.nodes)
+		}
+		p.scan(q.View.index(), q.need(), func(n *node) bool {
+			k := q.room(n)
+			if k == 0 {
+				return true
+			}
+			ns = append(ns, n)
+			room += k
+			most--
+			return most > 0 || room < q.Shape.Members
+		})
+	}
+	return f.fill(q, ns)
+}
+
+// option is a worker that could hold some members of a gang.
+type option struct {
+	n    *node
+	room int
+	c    cost
+}
+
+// fill puts the members on the given workers in the order of least cost.
+func (f *Fleet) fill(q Query, ns []*node) ([]Cell, cost, bool) {
+	options, sum := f.options(q, ns)
+	if sum < q.Shape.Members {
+		return nil, cost{}, false
+	}
+	slices.SortStableFunc(options, func(a, b option) int { return a.c.compare(b.c) })
+	var cells []Cell
+	var total cost
+	left := q.Shape.Members
+	for _, o := range options {
+		if left == 0 {
+			break
+		}
+		k := min(o.room, left)
+		left -= k
+		cells = append(cells, Cell{o.n.w.Name, k})
+		total = total.add(f.nodeCost(o.n, q.View.index(), k*q.Shape.Accels))
+	}
+	return cells, total, true
+}
+
+func (f *Fleet) options(q Query, ns []*node) ([]option, int) {
+	sum := 0
+	options := make([]option, 0, len(ns))
+	for _, n := range ns {
+		room := q.room(n)
+		if room == 0 {
+			continue
+		}
+		sum += room
+		options = append(options, option{n, room, f.nodeCost(n, q.View.index(), room*q.Shape.Accels)})
+	}
+	return options, sum
+}
+
+// sorted returns the workers of the group by name.
+func (g *group) sorted() []*node {
+	ns := make([]*node, 0, len(g.nodes))
+	for _, n := range g.nodes {
+		ns = append(ns, n)
+	}
+	slices.SortFunc(ns, func(a, b *node) int { return cmp.Compare(a.w.Name, b.w.Name) })
+	return ns
+}
--- /dev/null
+++ b/internal/sched/borrow.go
@@ -0,0 +1,95 @@
+package sched
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/knapweedlug/knapweedlug/internal/place"
+)
+
+// Waiting jobs that are looked at for borrowed capacity in one decision.
+const borrowMost = 512
+
+// borrow starts waiting jobs on capacity outside their guarantees. Jobs behind
+// one that waits may start where they don't delay it.
+func (s *Sched) borrow(now time.Time) {
+	blocked := 0
+	s.walk(borrowMost, func(j *job) bool {
+		if j.phase != queued || j.failing || !s.allowed(j) {
+			return true
+		}
+		if !s.fitsEmpty(j) {
+			s.fail(j, fmt.Sprintf("no workers of this fleet can hold %s, even with nothing else on them", j.Shape))
+			return true
+		}
+		if s.tryBorrow(j, blocked > 0, now) {
+			return true
+		}
+		if s.opt.Strict {
+			return false
+		}
+		blocked++
+		if blocked <= s.opt.Reservations {
+			s.starving(j, now)
+		}
+		return true
+	})
+}
+
+// fitsEmpty reports whether the fleet could hold the job with nothing else on
+// it, counting workers in any state.
+func (s *Sched) fitsEmpty(j *job) bool {
+	ok, known := s.possible[j.Shape]
+	if !known {
+		_, ok = s.empty.Find(place.Query{Shape: j.Shape, View: place.Soft})
+		if len(s.possible) >= memoMost {
+			clear(s.possible)
+		}
+		s.possible[j.Shape] = ok
+	}
+	return ok
+}
+
+func (s *Sched) tryBorrow(j *job, behind bool, now time.Time) bool {
+	if !j.Stoppable && len(s.short) > 0 {
+		return false
+	}
+	h := s.held[j.ID]
+	plain := h == nil && len(j.FailedOn) == 0
+	if plain && s.failed.has(j.Shape, j.view(), s.fleet.Freed()) {
+		return false
+	}
+	if h != nil {
+		s.fleet.Give(place.Reserved, h.cells, j.need)
+	}
+	cells, ok := s.fleet.Find(place.Query{Shape: j.Shape, View: j.view(), Avoid: s.avoid(j, now)})
+	if h != nil {
+		s.fleet.Take(place.Reserved, h.cells, j.need)
+	}
+	if !ok {
+		if plain {
+			s.failed.add(j.Shape, j.view(), s.fleet.Freed())
+		}
+		return false
+	}
+	j.cells = cells
+	s.startNow(j, now, "free capacity outside guarantees")
+	j.backfilled = behind
+	return true
+}
+
+// avoid keeps a job off workers that it failed on and, if it would most likely
+// have to be stopped soon, off workers that are reserved.
+func (s *Sched) avoid(j *job, now time.Time) func(string) bool {
+	if len(j.FailedOn) == 0 && len(s.held) == 0 {
+		return nil
+	}
+	_, high := s.expect(j.Job)
+	return func(worker string) bool {
+		if j.avoids(worker) {
+			return true
+		}
+		at, ok := s.reservedAt(worker, j)
+		return ok && now.Add(high).After(at) && at.Sub(now) < holdWorth*s.opt.Grace
+	}
+}
--- /dev/null
+++ b/internal/sched/learn.go
@@ -0,0 +1,129 @@
+package sched
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/knapweedlug/knapweedlug/internal/place"
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+const (
+	learnWindow  = 64 // run times kept per team and kind
+	learnEnough  = 8  // run times before they are believed
+	quantileHigh = 0.95
+	quantileMid  = 0.5
+	// Factors on a declared time while nothing has been learned.
+	unlearnedMid  = 1.0
+	unlearnedHigh = 3.0
+	undeclared    = 30 * time.Minute // declared time of a job that declares none
+)
+
+// lesson names what run times are learned for.
+type lesson struct {
+	team   string
+	kind   string
+	accels int // accelerators of the gang, rounded down to a power of two
+}
+
+// ratios holds the latest ratios of measured to declared run time.
+type ratios struct {
+	next int
+	vals []float64
+	mid  float64
+	high float64
+}
+
+type learned map[lesson]*ratios
+
+func newLearned() learned { return make(learned) }
+
+func lessonOf(m model.Job) lesson {
+	a := 0
+	if n := m.Shape.TotalAccels(); n > 0 {
+		a = 1 << int(math.Log2(float64(n)))
+	}
+	return lesson{m.Team, m.Shape.Kind, a}
+}
+
+func declared(m model.Job) time.Duration {
+	if m.EstimateMs <= 0 {
+		return undeclared
+	}
+	return time.Duration(m.EstimateMs) * time.Millisecond
+}
+
+func (r *ratios) add(x float64) {
+	if len(r.vals) < learnWindow {
+		r.vals = append(r.vals, x)
+	} else {
+		r.vals[r.next] = x
+	}
+	r.next = (r.next + 1) % learnWindow
+	sorted := slices.Clone(r.vals)
+	slices.Sort(sorted)
+	r.mid = sorted[int(quantileMid*float64(len(sorted)-1))]
+	r.high = sorted[int(math.Ceil(quantileHigh*float64(len(sorted)-1)))]
+}
+
+// learn takes in the run time of a job that has ended well. A job that was
+// stopped on its way has run for longer than can be told, so it is left out.
+func (s *Sched) learn(m model.Job, cells []place.Cell) {
+	if m.Attempts > 1 || m.Started.IsZero() || !m.Ended.After(m.Started) {
+		return
+	}
+	key := lessonOf(m)
+	if s.learned[key] == nil {
+		s.learned[key] = &ratios{}
+	}
+	run := float64(m.Ended.Sub(m.Started)) * s.pace(cells)
+	s.learned[key].add(run / float64(declared(m)))
+}
+
+// pace returns the speed of the slowest worker of a gang.
+func (s *Sched) pace(cells []place.Cell) float64 {
+	slowest := math.Inf(1)
+	for _, c := range cells {
+		if w, ok := s.workers[c.Worker]; ok && w.model.Speed > 0 {
+			slowest = min(slowest, w.model.Speed)
+		}
+	}
+	if math.IsInf(slowest, 1) {
+		return 1
+	}
+	return slowest
+}
+
+// expect returns the run time at speed 1.0 that half of such jobs need, and
+// the one that nearly all need.
+func (s *Sched) expect(m model.Job) (mid, high time.Duration) {
+	d := float64(declared(m))
+	r := s.learned[lessonOf(m)]
+	if r == nil || len(r.vals) < learnEnough {
+		return time.Duration(d * unlearnedMid), time.Duration(d * unlearnedHigh)
+	}
+	return time.Duration(d * r.mid), time.Duration(d * r.high)
+}
+
+// endOf returns when a placed job will most likely have ended. One that has
+// outlived its expectation is taken to need as long again.
+func (s *Sched) endOf(j *job, now time.Time) time.Time {
+	if j.stopping {
+		return later(j.stopBy, now)
+	}
+	_, high := s.expect(j.Job)
+	run := time.Duration(float64(high) / s.pace(j.cells))
+	end := j.placedAt.Add(run)
+	if end.After(now) {
+		return end
+	}
+	return now.Add(max(now.Sub(j.placedAt)/2, time.Second))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/sched/ledger.go
@@ -0,0 +1,160 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/knapweedlug/knapweedlug/internal/place"
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+// occupy enters the job's cells in the ledgers. Unstoppable work outside of
+// guarantees also counts against what guarantees may be bound to.
+func (s *Sched) occupy(j *job, l place.Layer) {
+	s.fleet.Take(l, j.cells, j.need)
+	if j.unit == nil && (!j.Stoppable || (s.rebuilding && !j.Borrowed)) {
+		s.makeFirm(j)
+	}
+	for _, c := range j.cells {
+		if s.on[c.Worker] == nil {
+			s.on[c.Worker] = make(map[string]*job)
+		}
+		s.on[c.Worker][j.ID] = j
+	}
+	t := s.team(j.Team)
+	t.used += j.Shape.TotalAccels()
+	if j.unit == nil {
+		t.lent += j.Shape.TotalAccels()
+		return
+	}
+	j.unit.jobs[j.ID] = j
+}
+
+// vacate undoes occupy.
+func (s *Sched) vacate(j *job, l place.Layer) {
+	s.fleet.Give(l, j.cells, j.need)
+	s.dropFirm(j)
+	for _, c := range j.cells {
+		delete(s.on[c.Worker], j.ID)
+		if len(s.on[c.Worker]) == 0 {
+			delete(s.on, c.Worker)
+		}
+	}
+	t := s.team(j.Team)
+	t.used -= j.Shape.TotalAccels()
+	if j.unit == nil {
+		t.lent -= j.Shape.TotalAccels()
+		return
+	}
+	delete(j.unit.jobs, j.ID)
+	s.dirty[j.Team] = true
+}
+
+// detach makes a job of a unit one that runs outside of guarantees.
+func (s *Sched) detach(j *job) {
+	delete(j.unit.jobs, j.ID)
+	j.unit = nil
+	s.team(j.Team).lent += j.Shape.TotalAccels()
+	if !j.Stoppable && !s.dying(j) {
+		s.makeFirm(j)
+	}
+}
+
+// attach makes a placed job outside of guarantees one of the unit.
+func (s *Sched) attach(j *job, u *unit) {
+	s.dropFirm(j)
+	j.unit = u
+	u.jobs[j.ID] = j
+	s.team(j.Team).lent -= j.Shape.TotalAccels()
+}
+
+// makeFirm counts a job against what guarantees may be bound to.
+func (s *Sched) makeFirm(j *job) {
+	j.firm = true
+	s.fleet.Take(place.Bound, j.cells, j.need)
+}
+
+func (s *Sched) dropFirm(j *job) {
+	if !j.firm {
+		return
+	}
+	j.firm = false
+	s.fleet.Give(place.Bound, j.cells, j.need)
+}
+
+// dying reports whether the gang has lost a member, so that all of it stops.
+func (s *Sched) dying(j *job) bool {
+	if j.lost {
+		return true
+	}
+	for _, c := range j.cells {
+		w, ok := s.workers[c.Worker]
+		if !ok || w.model.State == model.WorkerLost {
+			return true
+		}
+	}
+	return false
+}
+
+// leave takes the job out of the queue or off its place.
+func (s *Sched) leave(j *job) {
+	switch j.phase {
+	case claimed:
+		s.vacate(j, place.Claimed)
+		delete(s.claims, j.ID)
+	case placed:
+		s.vacate(j, place.Running)
+	default:
+		s.team(j.Team).queue.Delete(j)
+	}
+	s.lift(j)
+	delete(s.overdue, j.ID)
+	j.phase = queued
+	j.cells, j.unit = nil, nil
+	j.outstanding, j.stopping, j.backfilled, j.lost = false, false, false, false
+	j.stopBy = time.Time{}
+}
+
+// enqueue puts a job that holds nothing into its team's queue.
+func (s *Sched) enqueue(j *job) {
+	j.phase = queued
+	j.Members = nil
+	if s.judgeJob(j) {
+		return
+	}
+	j.key = s.order(j)
+	s.team(j.Team).queue.ReplaceOrInsert(j)
+	s.dirty[j.Team] = true
+}
+
+// start moves a queued or claimed job onto its cells.
+func (s *Sched) start(j *job, now time.Time) {
+	if j.phase == claimed {
+		s.fleet.Give(place.Claimed, j.cells, j.need)
+		s.fleet.Take(place.Running, j.cells, j.need)
+		delete(s.claims, j.ID)
+	} else {
+		s.team(j.Team).queue.Delete(j)
+		s.occupy(j, place.Running)
+	}
+	s.lift(j)
+	j.phase = placed
+	j.outstanding = true
+	j.placedAt = now
+	j.Members = place.Members(j.cells)
+	j.Borrowed = j.unit == nil
+}
+
+// claim promises the cells to a queued job.
+func (s *Sched) claim(j *job) {
+	s.team(j.Team).queue.Delete(j)
+	s.lift(j)
+	s.occupy(j, place.Claimed)
+	j.phase = claimed
+	s.claims[j.ID] = j
+}
+
+func (s *Sched) markStopping(j *job, by time.Time) {
+	j.stopping = true
+	j.stopBy = by
+	s.overdue[j.ID] = j
+}
--- /dev/null
+++ b/internal/sched/queue.go
@@ -0,0 +1,138 @@
+package sched
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/knapweedlug/knapweedlug/internal/place"
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+// Handicaps by which the queue orders jobs. They are times, so that a job that
+// waits overtakes any that is submitted late enough: none starves.
+const (
+	normalHandicap = 2 * time.Hour
+	lowHandicap    = 8 * time.Hour
+	lengthFactor   = 4                // of the expected run time
+	lengthMost     = 24 * time.Hour   // handicap for length at most
+	shareHandicap  = 10 * time.Second // per borrowed accelerator and unit of weight
+)
+
+// order returns the job's key in its team's queue.
+func (s *Sched) order(j *job) time.Time {
+	if s.opt.Strict {
+		return j.Submitted
+	}
+	mid, high := s.expect(j.Job)
+	key := j.Submitted.Add(min(lengthFactor*mid, lengthMost))
+	switch j.Urgency {
+	case model.Normal:
+		key = key.Add(normalHandicap)
+	case model.Low:
+		key = key.Add(lowHandicap)
+	}
+	if j.Deadline.IsZero() {
+		return key
+	}
+	if latest := j.Deadline.Add(-high); latest.Before(key) {
+		return latest
+	}
+	return key
+}
+
+// perTeam is how many waiting jobs of one team are looked at in one decision.
+const perTeam = 64
+
+// cursor walks through one team's queue.
+type cursor struct {
+	t      *team
+	jobs   []*job
+	offset time.Duration
+}
+
+func (c *cursor) key() time.Time { return c.jobs[0].key.Add(c.offset) }
+
+// cursors is a heap of the teams by the key of their next job.
+type cursors []*cursor
+
+func (c cursors) Len() int { return len(c) }
+func (c cursors) Less(i, j int) bool {
+	a, b := c[i].key(), c[j].key()
+	if a.Equal(b) {
+		return c[i].t.Name < c[j].t.Name
+	}
+	return a.Before(b)
+}
+func (c cursors) Swap(i, j int) { c[i], c[j] = c[j], c[i] }
+
+// Push implements heap.Interface.
+func (c *cursors) Push(x any) { *c = append(*c, x.(*cursor)) }
+
+// Pop implements heap.Interface.
+func (c *cursors) Pop() any {
+	last := (*c)[len(*c)-1]
+	*c = (*c)[:len(*c)-1]
+	return last
+}
+
+// walk visits up to most waiting jobs, the first served first, until visit
+// returns false. Teams that borrow much for their weight come later.
+func (s *Sched) walk(most int, visit func(*job) bool) {
+	var h cursors
+	for _, t := range s.teams {
+		if t.queue.Len() > 0 {
+			h = append(h, &cursor{t: t, jobs: firstJobs(t, min(most, perTeam)), offset: s.offset(t)})
+		}
+	}
+	heap.Init(&h)
+	for n := 0; n < most && h.Len() > 0; n++ {
+		c := h[0]
+		j := c.jobs[0]
+		if c.jobs = c.jobs[1:]; len(c.jobs) == 0 {
+			heap.Pop(&h)
+		} else {
+			heap.Fix(&h, 0)
+		}
+		if !visit(j) {
+			return
+		}
+	}
+}
+
+func firstJobs(t *team, most int) []*job {
+	js := make([]*job, 0, min(most, t.queue.Len()))
+	t.queue.Ascend(func(j *job) bool {
+		js = append(js, j)
+		return len(js) < most
+	})
+	return js
+}
+
+func (s *Sched) offset(t *team) time.Duration {
+	if s.opt.Strict {
+		return 0
+	}
+	return time.Duration(t.lent) * shareHandicap / time.Duration(max(t.Weight, 1))
+}
+
+// memo remembers which shapes found no room, until room is made.
+type memo map[memoKey]uint64
+
+type memoKey struct {
+	shape model.Shape
+	view  place.View
+}
+
+func (m memo) has(s model.Shape, v place.View, freed uint64) bool {
+	at, ok := m[memoKey{s, v}]
+	return ok && at == freed
+}
+
+const memoMost = 4096
+
+func (m memo) add(s model.Shape, v place.View, freed uint64) {
+	if len(m) >= memoMost {
+		clear(m)
+	}
+	m[memoKey{s, v}] = freed
+}
--- /dev/null
+++ b/internal/sched/report.go
@@ -0,0 +1,115 @@
+package sched
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/knapweedlug/knapweedlug/internal/place"
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+// Held is how one guarantee of a team stands.
+type Held struct {
+	Team      string  `json:"team"`
+	Guarantee int     `json:"guarantee"` // index within the team
+	Shape     string  `json:"shape"`
+	Count     int     `json:"count"` // shapes guaranteed
+	Used      int     `json:"used"`  // shapes that jobs of the team run in
+	Short     int     `json:"short"` // shapes that the fleet can't hold at present
+	Units     []Bound `json:"units,omitempty"`
+}
+
+// Bound is one guaranteed shape and the workers that it can be claimed on.
+type Bound struct {
+	Shape model.Shape  `json:"shape"`
+	Cells []place.Cell `json:"cells,omitempty"` // empty while the shape is short
+	Jobs  []string     `json:"jobs,omitempty"`
+}
+
+// Guarantees reports every guarantee with its witness: where each of its
+// shapes is claimed, or can be claimed by stopping borrowed work.
+func (s *Sched) Guarantees() []Held {
+	var hs []Held
+	for _, name := range slices.Sorted(maps.Keys(s.teams)) {
+		t := s.teams[name]
+		for i, g := range t.Guarantees {
+			hs = append(hs, heldOf(t, i, g))
+		}
+	}
+	return hs
+}
+
+func heldOf(t *team, i int, g model.Guarantee) Held {
+	h := Held{Team: t.Name, Guarantee: i, Shape: g.Shape.String(), Count: g.Count}
+	for _, u := range t.units {
+		if u.index != i {
+			continue
+		}
+		if !u.bound() {
+			h.Short++
+		}
+		if !u.idle() {
+			h.Used++
+		}
+		h.Units = append(h.Units, Bound{
+			Shape: u.shape,
+			Cells: slices.Clone(u.cells),
+			Jobs:  slices.Sorted(maps.Keys(u.jobs)),
+		})
+	}
+	return h
+}
+
+// Whole says how many gangs of a shape fit into what is free.
+type Whole struct {
+	Shape string `json:"shape"`
+	Fits  int    `json:"fits"`
+	Could int    `json:"could"` // that free accelerators would hold in another layout
+}
+
+// Share returns the share of gangs that only the layout keeps out.
+func (w Whole) Share() float64 {
+	if w.Could == 0 {
+		return 0
+	}
+	return 1 - float64(w.Fits)/float64(w.Could)
+}
+
+// Fragments is a report on what free accelerators are good for.
+type Fragments struct {
+	Accels int     `json:"accels"` // free
+	Gangs  []Whole `json:"gangs"`
+}
+
+// probeShapes are the gangs that fragmentation is measured by.
+func probeShapes() []model.Shape {
+	return []model.Shape{
+		{Members: 1, Accels: 8, Near: model.NearWorker},
+		{Members: 2, Accels: 8, Near: model.NearRack},
+		{Members: 8, Accels: 8, Near: model.NearDomain},
+	}
+}
+
+// Fragmentation reports how many gangs of 8 adjacent accelerators, of 16 in a
+// rack and of 64 in a failure domain fit, and how many could.
+func (s *Sched) Fragmentation() Fragments {
+	f := Fragments{Accels: s.fleet.FreeAccels()}
+	for _, shape := range probeShapes() {
+		could := min(f.Accels/shape.TotalAccels(), s.empty.Count(shape))
+		f.Gangs = append(f.Gangs, Whole{
+			Shape: shape.String(),
+			Fits:  s.fleet.Count(shape),
+			Could: could,
+		})
+	}
+	return f
+}
+
+// Queued returns the number of waiting jobs.
+func (s *Sched) Queued() int {
+	n := 0
+	for _, t := range s.teams {
+		n += t.queue.Len()
+	}
+	return n
+}
--- /dev/null
+++ b/internal/sched/reserve.go
@@ -0,0 +1,242 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/knapweedlug/knapweedlug/internal/place"
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+// holdWorth is how many times the grace for a checkpoint must lie between now
+// and a reservation for other work to start there meanwhile.
+const holdWorth = 8
+
+// hold is room that is reserved for a starving gang. Unstoppable work doesn't
+// start there; stoppable work does and is stopped when the rest has left.
+type hold struct {
+	j     *job
+	cells []place.Cell
+	at    time.Time // when the gang is promised to start
+}
+
+func (s *Sched) sortedHolds() []*job {
+	js := make(map[string]*job, len(s.held))
+	for id, h := range s.held {
+		js[id] = h.j
+	}
+	return sortedJobs(js)
+}
+
+// lift gives up the room that is reserved for the job.
+func (s *Sched) lift(j *job) {
+	h, ok := s.held[j.ID]
+	if !ok {
+		return
+	}
+	s.fleet.Give(place.Reserved, h.cells, j.need)
+	s.fleet.Touch()
+	delete(s.held, j.ID)
+	for _, c := range h.cells {
+		delete(s.heldOn[c.Worker], j.ID)
+		if len(s.heldOn[c.Worker]) == 0 {
+			delete(s.heldOn, c.Worker)
+		}
+	}
+}
+
+func (s *Sched) reserve(j *job, cells []place.Cell, at time.Time) {
+	h := &hold{j: j, cells: cells, at: at}
+	s.held[j.ID] = h
+	s.fleet.Take(place.Reserved, cells, j.need)
+	for _, c := range cells {
+		if s.heldOn[c.Worker] == nil {
+			s.heldOn[c.Worker] = make(map[string]*hold)
+		}
+		s.heldOn[c.Worker][j.ID] = h
+	}
+}
+
+// reservedAt returns the earliest start that is promised to another job on the
+// worker.
+func (s *Sched) reservedAt(worker string, j *job) (time.Time, bool) {
+	var at time.Time
+	found := false
+	for id, h := range s.heldOn[worker] {
+		if id != j.ID && (!found || h.at.Before(at)) {
+			at, found = h.at, true
+		}
+	}
+	return at, found
+}
+
+// starving helps a gang that finds no room: its reservation is redeemed, other
+// work is moved out of its way, or room is reserved for it.
+func (s *Sched) starving(j *job, now time.Time) {
+	h := s.held[j.ID]
+	if h != nil && s.redeem(h, now) {
+		return
+	}
+	if now.Sub(j.Submitted) < s.opt.Patience {
+		return
+	}
+	if s.migrate(j, now) {
+		return
+	}
+	stale := h != nil && now.After(h.at.Add(s.opt.Patience))
+	if stale {
+		s.lift(j)
+	}
+	if (h != nil && !stale) || len(s.held) >= s.opt.Reservations || s.searched.Equal(now) {
+		return
+	}
+	s.searched = now
+	if cells, at, ok := s.earliest(j, now); ok {
+		s.reserve(j, cells, at.Add(s.opt.Grace))
+	}
+}
+
+// redeem claims the reserved place once only work that started there after the
+// reservation is left on it.
+func (s *Sched) redeem(h *hold, now time.Time) bool {
+	j := h.j
+	s.fleet.Give(place.Reserved, h.cells, j.need)
+	ok := s.redeemable(h)
+	s.fleet.Take(place.Reserved, h.cells, j.need)
+	if !ok {
+		return false
+	}
+	j.cells = h.cells
+	if !s.clearWay(j, now) {
+		j.cells = nil
+		return false
+	}
+	s.claim(j)
+	return true
+}
+
+func (s *Sched) redeemable(h *hold) bool {
+	for _, c := range h.cells {
+		w, ok := s.workers[c.Worker]
+		if !ok || w.model.State != model.WorkerReady {
+			return false
+		}
+		need := h.j.need.Times(c.Count)
+		if !h.j.Stoppable && !need.Fits(s.fleet.Free(c.Worker, place.Hard)) {
+			return false
+		}
+		room := s.fleet.Free(c.Worker, place.Soft)
+		for _, v := range s.on[c.Worker] {
+			if v.stopping || (v.borrowing() && v.backfilled && v.phase == placed) {
+				room = room.Add(v.on(c.Worker))
+			}
+		}
+		if !need.Fits(room) {
+			return false
+		}
+	}
+	return true
+}
+
+// opening is a moment at which a worker gets room for more members.
+type opening struct {
+	at      time.Time
+	worker  string
+	members int
+}
+
+// earliest returns where and when the whole gang can be expected to find room,
+// from what runs now and how long such work has taken so far.
+func (s *Sched) earliest(j *job, now time.Time) ([]place.Cell, time.Time, bool) {
+	var best []opening
+	for _, scope := range s.fleet.Scopes(j.Shape) {
+		os := s.openings(j, scope, now)
+		n, sum := 0, 0
+		for n < len(os) && sum < j.Shape.Members {
+			sum += os[n].members
+			n++
+		}
+		if sum < j.Shape.Members {
+			continue
+		}
+		os = os[:n]
+		if best == nil || os[n-1].at.Before(best[len(best)-1].at) {
+			best = os
+		}
+	}
+	if best == nil {
+		return nil, time.Time{}, false
+	}
+	return cellsOf(best, j.Shape.Members), best[len(best)-1].at, true
+}
+
+func cellsOf(os []opening, members int) []place.Cell {
+	var cells []place.Cell
+	for _, o := range os {
+		k := min(o.members, members)
+		members -= k
+		if k > 0 {
+			cells = append(cells, place.Cell{Worker: o.worker, Count: k})
+		}
+	}
+	return mergeCells(cells)
+}
+
+func (s *Sched) openings(j *job, workers []string, now time.Time) []opening {
+	var os []opening
+	for _, w := range workers {
+		if !j.avoids(w) {
+			os = append(os, s.openingsOn(j, w, now)...)
+		}
+	}
+	slices.SortStableFunc(os, func(a, b opening) int {
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(b.members, a.members))
+	})
+	return os
+}
+
+func (s *Sched) openingsOn(j *job, worker string, now time.Time) []opening {
+	soft := s.fleet.Free(worker, place.Soft)
+	hard := s.fleet.Free(worker, place.Hard)
+	have := 0
+	var os []opening
+	open := func(at time.Time) {
+		room := soft
+		if !j.Stoppable {
+			room = soft.Min(hard)
+		}
+		if k := j.need.Into(room, j.Shape.Members); k > have {
+			os = append(os, opening{at, worker, k - have})
+			have = k
+		}
+	}
+	open(now)
+	for _, e := range s.endings(worker, now) {
+		soft = soft.Add(e.j.on(worker))
+		if e.j.firm {
+			hard = hard.Add(e.j.on(worker))
+		}
+		open(e.at)
+	}
+	return os
+}
+
+// ending is when a placed job is expected to end.
+type ending struct {
+	j  *job
+	at time.Time
+}
+
+func (s *Sched) endings(worker string, now time.Time) []ending {
+	var es []ending
+	for _, v := range s.on[worker] {
+		if v.phase == placed {
+			es = append(es, ending{v, s.endOf(v, now)})
+		}
+	}
+	slices.SortFunc(es, func(a, b ending) int {
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.j.ID, b.j.ID))
+	})
+	return es
+}
--- /dev/null
+++ b/internal/sched/sched.go
@@ -0,0 +1,303 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/google/btree"
+
+	"github.com/knapweedlug/knapweedlug/internal/place"
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+// Sched holds what the decisions need to know. A new leader builds it from the
+// committed state by Reset and keeps it up to date by the Set and Drop
+// methods. It isn't safe for concurrent use.
+type Sched struct {
+	opt        Options
+	fleet      *place.Fleet
+	empty      *place.Fleet // every known worker, with nothing on it
+	workers    map[string]*worker
+	teams      map[string]*team
+	jobs       map[string]*job
+	on         map[string]map[string]*job  // placed jobs by worker, then id
+	units      map[string]map[*unit]bool   // bound units by worker
+	short      map[*unit]bool              // units without workers
+	claims     map[string]*job             // claimed jobs by id
+	held       map[string]*hold            // reservations by job
+	heldOn     map[string]map[string]*hold // reservations by worker, then job
+	overdue    map[string]*job             // jobs told to stop, until they have
+	sick       map[string]bool             // workers in quarantine
+	dirty      map[string]bool             // teams whose guarantees may take a job
+	rebuilding bool
+	pending    []Decision // decisions that events have caused
+	learned    learned
+	failed     memo
+	possible   map[model.Shape]bool // answers of the empty fleet
+	tried      time.Time            // last attempt to make room for a starving gang
+	searched   time.Time            // last search for room to reserve
+	repaired   uint64               // the fleet's Freed at the last vain repair
+}
+
+// team is a team with its units and its waiting jobs.
+type team struct {
+	model.Team
+	units []*unit
+	queue *btree.BTreeG[*job]
+	used  int // accelerators of its placed and claimed jobs
+	lent  int // those of them outside its guarantees
+}
+
+const btreeDegree = 16
+
+func newTeam(name string) *team {
+	return &team{Team: model.Team{Name: name}, queue: btree.NewG(btreeDegree, jobLess)}
+}
+
+// New returns a scheduler that knows no workers yet.
+func New(opt Options) *Sched {
+	s := &Sched{opt: opt.withDefaults()}
+	s.clear()
+	return s
+}
+
+func (s *Sched) clear() {
+	s.fleet = place.New(s.opt.Policy)
+	s.empty = place.New(place.Gradient)
+	s.workers = make(map[string]*worker)
+	s.teams = make(map[string]*team)
+	s.jobs = make(map[string]*job)
+	s.on = make(map[string]map[string]*job)
+	s.units = make(map[string]map[*unit]bool)
+	s.short = make(map[*unit]bool)
+	s.claims = make(map[string]*job)
+	s.held = make(map[string]*hold)
+	s.heldOn = make(map[string]map[string]*hold)
+	s.overdue = make(map[string]*job)
+	s.sick = make(map[string]bool)
+	s.dirty = make(map[string]bool)
+	s.pending = nil
+	s.learned = newLearned()
+	s.failed = make(memo)
+	s.possible = make(map[model.Shape]bool)
+	s.tried, s.searched = time.Time{}, time.Time{}
+	s.repaired = 0
+}
+
+// Reset forgets everything and starts from the committed state. Placed jobs
+// keep their places; every guarantee is bound again.
+func (s *Sched) Reset(workers []model.Worker, teams []model.Team, jobs []model.Job, now time.Time) {
+	s.clear()
+	for _, w := range workers {
+		s.SetWorker(w, now)
+	}
+	for _, t := range teams {
+		s.team(t.Name).Team = t
+		s.growUnits(s.team(t.Name))
+	}
+	s.rebuild(byGuarantee(jobs), now)
+	s.repair()
+}
+
+// rebuild enters the jobs. The place of each job that runs within a guarantee
+// is kept free of bindings until the guarantee is bound around it.
+func (s *Sched) rebuild(jobs []model.Job, now time.Time) {
+	s.rebuilding = true
+	for _, j := range jobs {
+		s.SetJob(j, now)
+	}
+	s.rebuilding = false
+	for _, m := range jobs {
+		if j, ok := s.jobs[m.ID]; ok && j.phase == placed && !j.Borrowed {
+			s.reattach(j)
+		}
+	}
+}
+
+func (s *Sched) team(name string) *team {
+	t, ok := s.teams[name]
+	if !ok {
+		t = newTeam(name)
+		s.teams[name] = t
+	}
+	return t
+}
+
+// SetTeam enters a committed team. Guarantees that find no room are short and
+// are reported by Guarantees until they do.
+func (s *Sched) SetTeam(m model.Team, _ time.Time) {
+	t := s.team(m.Name)
+	t.Team = m
+	s.shrinkUnits(t)
+	s.growUnits(t)
+	s.repair()
+	s.fleet.Touch()
+}
+
+// DropTeam removes a team and its guarantees. Its jobs stay until they end.
+func (s *Sched) DropTeam(name string, _ time.Time) {
+	t, ok := s.teams[name]
+	if !ok {
+		return
+	}
+	t.Team = model.Team{Name: name}
+	s.shrinkUnits(t)
+	s.dropIfBare(t)
+}
+
+func (s *Sched) dropIfBare(t *team) {
+	if len(t.units) == 0 && t.queue.Len() == 0 && t.used == 0 && len(t.Guarantees) == 0 && t.Weight == 0 {
+		delete(s.teams, t.Name)
+	}
+}
+
+// SetWorker enters a committed worker. Guarantees that can no longer be
+// claimed there are bound elsewhere.
+func (s *Sched) SetWorker(m model.Worker, now time.Time) {
+	w, ok := s.workers[m.Name]
+	if ok && w.model == m {
+		return
+	}
+	if !ok {
+		w = newWorker()
+		s.workers[m.Name] = w
+	}
+	was := w.model
+	w.model = m
+	s.fleet.SetWorker(m)
+	if !ok || !sameHost(was, m) {
+		s.empty.SetWorker(m.WithState(model.WorkerReady))
+		clear(s.possible)
+	}
+	s.watchState(w, was.State, now)
+	if m.State != model.WorkerReady || !sameHost(was, m) {
+		s.evict(m.Name)
+	}
+	s.repair()
+}
+
+// DropWorker removes a worker from the fleet.
+func (s *Sched) DropWorker(name string, now time.Time) {
+	w, ok := s.workers[name]
+	if !ok {
+		return
+	}
+	s.SetWorker(w.model.WithState(model.WorkerLost), now)
+	delete(s.workers, name)
+	s.fleet.DropWorker(name)
+	s.empty.DropWorker(name)
+	clear(s.possible)
+}
+
+func sameHost(a, b model.Worker) bool { return a.WithState("") == b.WithState("") }
+
+// SetJob enters a committed job. It is idempotent.
+func (s *Sched) SetJob(m model.Job, now time.Time) {
+	if m.State.Ended() {
+		s.endJob(m, now)
+		return
+	}
+	j, ok := s.jobs[m.ID]
+	if !ok {
+		j = newJob(m)
+		s.jobs[m.ID] = j
+		s.chargeAll(m, nil, now)
+		s.enter(j, now)
+		return
+	}
+	was := j.Job
+	s.chargeAll(m, was.FailedOn, now)
+	if holds(m.State) {
+		s.confirm(j, m, now)
+		return
+	}
+	released := m.Attempts > was.Attempts || m.Epoch > was.Epoch
+	if j.phase == claimed || (j.outstanding && !released) {
+		j.Job = keepPlace(m, was)
+		return
+	}
+	s.leave(j)
+	j.Job = m
+	s.enter(j, now)
+}
+
+// keepPlace returns the committed job with the place that was decided since.
+func keepPlace(m, was model.Job) model.Job {
+	m.Members = was.Members
+	m.Borrowed = was.Borrowed
+	return m
+}
+
+// confirm takes in a job that is committed with a place.
+func (s *Sched) confirm(j *job, m model.Job, now time.Time) {
+	same := j.phase == placed && sameCells(j.cells, place.CellsOf(m.Members))
+	if !same {
+		s.leave(j)
+		j.Job = m
+		s.enter(j, now)
+		return
+	}
+	j.Job = m
+	j.outstanding = false
+	if m.State == model.JobStopping && !j.stopping {
+		s.markStopping(j, now.Add(s.opt.Grace))
+	}
+}
+
+func sameCells(a, b []place.Cell) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	count := make(map[string]int, len(a))
+	for _, c := range a {
+		count[c.Worker] += c.Count
+	}
+	for _, c := range b {
+		if count[c.Worker] != c.Count {
+			return false
+		}
+	}
+	return true
+}
+
+// enter puts a job that is neither queued nor placed where its state says.
+func (s *Sched) enter(j *job, now time.Time) {
+	if !holds(j.State) {
+		s.enqueue(j)
+		return
+	}
+	j.cells = place.CellsOf(j.Members)
+	if !s.rebuilding {
+		s.adopt(j)
+	}
+	s.occupy(j, place.Running)
+	j.phase = placed
+	j.placedAt = j.Started
+	if j.State == model.JobStopping {
+		s.markStopping(j, now.Add(s.opt.Grace))
+	}
+	s.checkMembers(j, now)
+}
+
+// DropJob forgets a job.
+func (s *Sched) DropJob(id string) {
+	j, ok := s.jobs[id]
+	if !ok {
+		return
+	}
+	s.leave(j)
+	delete(s.jobs, id)
+	s.dropIfBare(s.team(j.Team))
+}
+
+func (s *Sched) endJob(m model.Job, now time.Time) {
+	j, ok := s.jobs[m.ID]
+	if !ok {
+		return
+	}
+	s.chargeAll(m, j.FailedOn, now)
+	if m.State == model.JobDone {
+		s.learn(m, j.cells)
+		s.praise(j.cells)
+	}
+	s.DropJob(m.ID)
+}
--- /dev/null
+++ b/internal/sched/sched_test.go
@@ -0,0 +1,173 @@
+package sched
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+var (
+	nears     = []model.Near{model.NearWorker, model.NearRack, model.NearDomain, model.NearAny}
+	urgencies = []model.Urgency{model.Urgent, model.Normal, model.Low}
+)
+
+func drawFleet(t *rapid.T) []model.Worker {
+	n := rapid.IntRange(3, 14).Draw(t, "workers")
+	ws := make([]model.Worker, n)
+	for i := range ws {
+		rack := i / rapid.IntRange(2, 3).Draw(t, "perrack")
+		ws[i] = host(rack%3, rack, i)
+		ws[i].Speed = rapid.SampledFrom([]float64{0.5, 1, 2}).Draw(t, "speed")
+		ws[i].Accels = rapid.SampledFrom([]int{0, 4, 8, 8}).Draw(t, "accels")
+	}
+	return ws
+}
+
+func drawShape(t *rapid.T) model.Shape {
+	s := shape(rapid.IntRange(1, 4).Draw(t, "members"), rapid.SampledFrom([]int{0, 1, 2, 4, 8}).Draw(t, "accels"),
+		rapid.SampledFrom(nears).Draw(t, "near"))
+	s.Cores = max(s.Cores, 1)
+	return s
+}
+
+// machine drives a world at random and checks it after every step.
+type machine struct {
+	*world
+	seq int
+}
+
+func (m *machine) anyJob(t *rapid.T, in func(model.Job) bool) (model.Job, bool) {
+	var ids []string
+	for id, j := range m.jobs {
+		if in(j) {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) == 0 {
+		return model.Job{}, false
+	}
+	slices.Sort(ids)
+	return m.jobs[rapid.SampledFrom(ids).Draw(t, "job")], true
+}
+
+func (m *machine) anyWorker(t *rapid.T) model.Worker {
+	return m.workers[rapid.SampledFrom(slices.Sorted(maps.Keys(m.workers))).Draw(t, "worker")]
+}
+
+func running(j model.Job) bool  { return j.State == model.JobRunning }
+func stopping(j model.Job) bool { return j.State == model.JobStopping }
+
+func (m *machine) submit(t *rapid.T) {
+	m.seq++
+	j := gang(fmt.Sprintf("j%04d", m.seq), fmt.Sprintf("t%d", rapid.IntRange(0, 3).Draw(t, "team")), drawShape(t), m.now)
+	j.Stoppable = rapid.Bool().Draw(t, "stoppable")
+	j.Urgency = rapid.SampledFrom(urgencies).Draw(t, "urgency")
+	m.setJob(j)
+}
+
+func (m *machine) finish(t *rapid.T) {
+	if j, ok := m.anyJob(t, running); ok {
+		m.end(j.ID, rapid.SampledFrom([]model.JobState{model.JobDone, model.JobCancelled, model.JobFailed}).Draw(t, "end"))
+	}
+}
+
+func (m *machine) stopped(t *rapid.T) {
+	if j, ok := m.anyJob(t, stopping); ok {
+		m.requeue(j.ID)
+	}
+}
+
+func (m *machine) memberFails(t *rapid.T) {
+	if j, ok := m.anyJob(t, running); ok {
+		m.failOn(j.ID, j.Members[rapid.IntRange(0, len(j.Members)-1).Draw(t, "member")].Worker)
+	}
+}
+
+func (m *machine) workerChanges(t *rapid.T) {
+	w := m.anyWorker(t)
+	m.setWorker(w.WithState(rapid.SampledFrom([]model.WorkerState{
+		model.WorkerReady, model.WorkerReady, model.WorkerCordoned, model.WorkerDraining, model.WorkerLost,
+	}).Draw(t, "state")))
+}
+
+func (m *machine) rackLost(t *rapid.T) {
+	rack := m.anyWorker(t).Rack
+	for _, name := range slices.Sorted(maps.Keys(m.workers)) {
+		if m.workers[name].Rack == rack {
+			m.setWorker(m.workers[name].WithState(model.WorkerLost))
+		}
+	}
+}
+
+func (m *machine) probed(t *rapid.T) {
+	for _, name := range m.probes {
+		m.s.ProbeResult(name, rapid.Bool().Draw(t, "passed"), m.now)
+	}
+	m.probes = nil
+}
+
+func (m *machine) teamChanges(t *rapid.T) {
+	name := fmt.Sprintf("t%d", rapid.IntRange(0, 3).Draw(t, "team"))
+	m.setTeam(holding(name, rapid.IntRange(0, 3).Draw(t, "count"), drawShape(t)))
+}
+
+// decideOrForget commits most decisions. A stop or place that is forgotten must
+// leave everything as it was.
+func (m *machine) decideOrForget(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "seconds")) * time.Second)
+	before := m.short()
+	ds := m.s.Decide(m.now)
+	lose := rapid.IntRange(0, 5).Draw(t, "lose") == 0
+	for _, d := range ds {
+		if lose && (d.Kind == Place || d.Kind == Stop || d.Kind == Fail) {
+			m.s.Forget(d, m.now)
+			continue
+		}
+		m.commit(d)
+	}
+	if !slices.ContainsFunc(ds, func(d Decision) bool { return d.Kind == Quarantine }) {
+		require.LessOrEqual(t, m.short(), before, "a decision has left a guarantee without its witness")
+	}
+}
+
+func (m *machine) newLeader(t *rapid.T) {
+	before := m.short()
+	s := m.leader()
+	m.checkWitness(s)
+	if before == 0 && rapid.Bool().Draw(t, "take over") {
+		m.s = s
+		m.probes = nil
+		m.markDoomed()
+	}
+}
+
+// TestInvariants checks after every step of random histories that gangs are
+// whole and adjacent, that no worker holds more than it has, that no job runs
+// twice, and that every bound guarantee lies on free or stoppable work.
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{world: newWorld(t, Options{}, drawFleet(t)...)}
+		t.Repeat(map[string]func(*rapid.T){
+			"submit":  m.submit,
+			"submit2": m.submit,
+			"finish":  m.finish,
+			"stopped": m.stopped,
+			"fails":   m.memberFails,
+			"worker":  m.workerChanges,
+			"rack":    m.rackLost,
+			"probe":   m.probed,
+			"team":    m.teamChanges,
+			"decide":  m.decideOrForget,
+			"decide2": m.decideOrForget,
+			"leader":  m.newLeader,
+			"":        func(*rapid.T) { m.check() },
+		})
+	})
+}
--- /dev/null
+++ b/internal/sched/worker.go
@@ -0,0 +1,217 @@
+package sched
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/knapweedlug/knapweedlug/internal/place"
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+const lostReason = "a worker of the gang is lost"
+
+// worker is a worker with its record of failures.
+type worker struct {
+	model    model.Worker
+	blamedBy map[string]bool // jobs that failed here since the last success
+	probeAt  time.Time       // when the next probe is due, in quarantine
+	wait     time.Duration   // between the last two probes
+	probing  bool
+}
+
+func newWorker() *worker { return &worker{blamedBy: make(map[string]bool)} }
+
+// chargeAll charges the failures that a committed job has beyond known ones to
+// pairs of worker and job.
+func (s *Sched) chargeAll(m model.Job, known []string, now time.Time) {
+	for i := len(known); i < len(m.FailedOn); i++ {
+		w, ok := s.workers[m.FailedOn[i]]
+		if !ok {
+			continue
+		}
+		w.blamedBy[m.ID] = true
+		s.judgeWorker(w, now)
+	}
+}
+
+// judgeWorker quarantines a worker that fails different jobs. A job that also
+// fails elsewhere doesn't count: the fault is more likely its own.
+func (s *Sched) judgeWorker(w *worker, now time.Time) {
+	if w.model.State != model.WorkerReady {
+		return
+	}
+	count := 0
+	for id := range w.blamedBy {
+		j, ok := s.jobs[id]
+		if !ok || s.blame(j, w.model.Name) < 2 {
+			count++
+		}
+	}
+	if count < s.opt.WorkerJobs {
+		return
+	}
+	reason := fmt.Sprintf("%d different jobs failed on worker %s since its last success", count, w.model.Name)
+	s.emit(Decision{Kind: Quarantine, Worker: w.model.Name, Reason: reason})
+	s.SetWorker(w.model.WithState(model.WorkerQuarantine), now)
+}
+
+// blame counts the healthy workers, but one, that the job has failed on.
+func (s *Sched) blame(j *job, but string) int {
+	seen := make(map[string]bool, len(j.FailedOn))
+	for _, name := range j.FailedOn {
+		if !j.avoids(name) {
+			continue
+		}
+		w, ok := s.workers[name]
+		if !ok || name == but || w.model.State == model.WorkerQuarantine {
+			continue
+		}
+		if len(w.blamedBy) <= 1 {
+			seen[name] = true
+		}
+	}
+	return len(seen)
+}
+
+// judgeJob fails a job that has failed on several healthy workers, or on so
+// many that their health no longer matters.
+func (s *Sched) judgeJob(j *job) bool {
+	if j.failing || len(j.FailedOn) < s.opt.JobWorkers {
+		return j.failing
+	}
+	healthy, all := s.blame(j, ""), s.failedWorkers(j)
+	if healthy < s.opt.JobWorkers && all < 2*s.opt.JobWorkers {
+		return false
+	}
+	s.fail(j, fmt.Sprintf("failed on %d workers, %d of which run other jobs well: %v", all, healthy, j.FailedOn))
+	return true
+}
+
+// failedWorkers counts the workers outside of quarantine that the job failed on.
+func (s *Sched) failedWorkers(j *job) int {
+	seen := make(map[string]bool, len(j.FailedOn))
+	for _, name := range j.FailedOn {
+		w, ok := s.workers[name]
+		if ok && j.avoids(name) && w.model.State != model.WorkerQuarantine {
+			seen[name] = true
+		}
+	}
+	return len(seen)
+}
+
+// fail takes a queued job out of the queue for good.
+func (s *Sched) fail(j *job, reason string) {
+	s.team(j.Team).queue.Delete(j)
+	s.lift(j)
+	j.failing = true
+	s.emit(Decision{Kind: Fail, Job: j.ID, Reason: reason})
+}
+
+// praise clears the failures of workers on which a job has ended well.
+func (s *Sched) praise(cells []place.Cell) {
+	for _, c := range cells {
+		if w, ok := s.workers[c.Worker]; ok {
+			clear(w.blamedBy)
+		}
+	}
+}
+
+// watchState follows a worker into quarantine and out of it.
+func (s *Sched) watchState(w *worker, was model.WorkerState, now time.Time) {
+	state := w.model.State
+	if state == was {
+		return
+	}
+	if state == model.WorkerQuarantine {
+		w.wait = s.opt.ProbeAfter
+		w.probeAt = now.Add(w.wait)
+		w.probing = false
+		s.sick[w.model.Name] = true
+		s.excuse(w)
+	}
+	if was == model.WorkerQuarantine {
+		delete(s.sick, w.model.Name)
+		clear(w.blamedBy)
+	}
+	for _, j := range sortedJobs(s.on[w.model.Name]) {
+		s.checkMembers(j, now)
+	}
+}
+
+// excuse strikes the worker from the records of the jobs that failed there.
+func (s *Sched) excuse(w *worker) {
+	for id := range w.blamedBy {
+		if j, ok := s.jobs[id]; ok {
+			j.excused = append(j.excused, w.model.Name)
+		}
+	}
+}
+
+// checkMembers stops a gang that has a member on a lost or draining worker.
+func (s *Sched) checkMembers(j *job, now time.Time) {
+	if j.phase == claimed {
+		if !s.allReady(j) {
+			s.unclaim(j)
+		}
+		return
+	}
+	if s.dying(j) {
+		s.dropFirm(j)
+		j.lost = true
+		s.stop(j, now, false, lostReason)
+		return
+	}
+	if j.Stoppable && s.draining(j) {
+		s.stop(j, now, true, "a worker of the gang is being drained")
+	}
+}
+
+func (s *Sched) allReady(j *job) bool {
+	for _, c := range j.cells {
+		w, ok := s.workers[c.Worker]
+		if !ok || w.model.State != model.WorkerReady {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Sched) draining(j *job) bool {
+	for _, c := range j.cells {
+		if w, ok := s.workers[c.Worker]; ok && w.model.State == model.WorkerDraining {
+			return true
+		}
+	}
+	return false
+}
+
+// probes asks for the probes that are due.
+func (s *Sched) probes(now time.Time) {
+	for _, name := range slices.Sorted(maps.Keys(s.sick)) {
+		w := s.workers[name]
+		if w.probing || now.Before(w.probeAt) {
+			continue
+		}
+		w.probing = true
+		s.emit(Decision{Kind: Probe, Worker: name, Reason: "the worker is in quarantine and its probe is due"})
+	}
+}
+
+// ProbeResult takes in how a probe went. A worker that passed is released, and
+// gets work once that is committed; one that failed is probed again after twice
+// the time.
+func (s *Sched) ProbeResult(name string, ok bool, now time.Time) {
+	w, known := s.workers[name]
+	if !known || w.model.State != model.WorkerQuarantine {
+		return
+	}
+	if ok {
+		s.emit(Decision{Kind: Release, Worker: name, Reason: "the worker passed its probe"})
+		return
+	}
+	w.probing = false
+	w.wait = min(2*w.wait, s.opt.ProbeMax)
+	w.probeAt = now.Add(w.wait)
+}
--- a/pkg/model/job.go
+++ b/pkg/model/job.go
@@ -55,6 +55,7 @@
 	Members   []Member  `json:"members,omitempty"`
 	Borrowed  bool      `json:"borrowed,omitempty"` // runs outside its team's guarantee
 	Attempts  int       `json:"attempts,omitempty"`
+	FailedOn  []string  `json:"failedon,omitempty"` // workers on which a member failed, in order
 	Submitted time.Time `json:"submitted,omitzero"`
 	Started   time.Time `json:"started,omitzero"`
 	Ended     time.Time `json:"ended,omitzero"`
