--- /dev/null
+++ b/internal/fakes/backend_test.go
@@ -0,0 +1,116 @@
+package fakes_test
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/knapweedlug/knapweedlug/internal/fakes"
+	"github.com/knapweedlug/knapweedlug/pkg/client"
+)
+
+func work(t *testing.T, url, id, key, body string) (*http.Response, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/work?ms=0", strings.NewReader(body))
+	require.NoError(t, err)
+	req.Header.Set(client.HeaderRequest, id)
+	req.Header.Set(client.HeaderKey, key)
+	return (&http.Client{Timeout: 5 * time.Second}).Do(req)
+}
+
+func TestBackendAnswersAndKeepsJournal(t *testing.T) {
+	b := fakes.NewBackend(fakes.BackendConfig{ID: "b1"}, fakes.WallClock{})
+	srv := httptest.NewServer(b.Handler())
+	defer srv.Close()
+	resp, err := work(t, srv.URL, "r1", "k1", "twelve corporals")
+	require.NoError(t, err)
+	var a fakes.Answer
+	require.NoError(t, json.NewDecoder(resp.Body).Decode(&a))
+	sum := sha256.Sum256([]byte("twelve corporals"))
+	require.Equal(t, fakes.Answer{Request: "r1", Key: "k1", Hash: hex.EncodeToString(sum[:]), Backend: "b1"}, a)
+	_, err = work(t, srv.URL, "r2", "k1", "")
+	require.NoError(t, err)
+	require.Equal(t, map[string]int{"k1": 2}, fakes.Runs(b.Journal.Entries()))
+}
+
+func TestBackendFaults(t *testing.T) {
+	b := fakes.NewBackend(fakes.BackendConfig{ID: "b1"}, fakes.WallClock{})
+	srv := httptest.NewServer(b.Handler())
+	defer srv.Close()
+	b.SetFault(fakes.BackendFault{Fails: true})
+	resp, err := work(t, srv.URL, "r", "", "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusInternalServerError, resp.StatusCode)
+	b.SetFault(fakes.BackendFault{Cut: true})
+	resp, err = work(t, srv.URL, "r", "", "")
+	require.NoError(t, err)
+	_, err = io.ReadAll(resp.Body)
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	b.SetFault(fakes.BackendFault{Huge: 1 << 20})
+	resp, err = work(t, srv.URL, "r", "", "")
+	require.NoError(t, err)
+	text, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Greater(t, len(text), 1<<20)
+}
+
+func TestBackendTakesNoMoreThanItsSlots(t *testing.T) {
+	b := fakes.NewBackend(fakes.BackendConfig{ID: "b1", Slots: 1}, fakes.WallClock{})
+	srv := httptest.NewServer(b.Handler())
+	defer srv.Close()
+	b.SetFault(fakes.BackendFault{Frozen: true})
+	ctx := t.Context()
+	var g errgroup.Group
+	stuck, err := http.NewRequestWithContext(ctx, http.MethodPost, srv.URL+"/work?ms=0", nil)
+	require.NoError(t, err)
+	g.Go(func() error {
+		resp, err := srv.Client().Do(stuck)
+		if err == nil {
+			resp.Body.Close()
+		}
+		return nil
+	})
+	require.Eventually(t, func() bool { return b.Active() == 1 }, 5*time.Second, time.Millisecond)
+	resp, err := work(t, srv.URL, "r2", "k", "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Empty(t, fakes.Runs(b.Journal.Entries()))
+	require.Equal(t, 2, b.Peak())
+	srv.CloseClientConnections()
+	require.NoError(t, g.Wait())
+}
+
+func TestBackendAnnouncesItself(t *testing.T) {
+	var present, leaving atomic.Int64
+	agent := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		var a fakes.Announcement
+		if json.NewDecoder(r.Body).Decode(&a) != nil || a.Service != "rota" || a.Slots != fakes.DefaultSlots {
+			return
+		}
+		if a.Leaving {
+			leaving.Add(1)
+			return
+		}
+		present.Add(1)
+	}))
+	defer agent.Close()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	b := fakes.NewBackend(fakes.BackendConfig{ID: "b1", Service: "rota", Agent: agent.URL}, fakes.WallClock{})
+	var g errgroup.Group
+	g.Go(func() error { return b.Serve(t.Context(), ln) })
+	require.Eventually(t, func() bool { return present.Load() > 0 }, 5*time.Second, time.Millisecond)
+	require.NoError(t, b.Leave(t.Context(), ln.Addr().String()))
+	require.Positive(t, leaving.Load())
+}
