The whole path as separate processes: requests, gang, drain, demo

Cause: nothing joined the parts. knapd runs the roles entry, agent and control; a caller's request reaches a backend server against a slot credit; a gang is placed, prepared, decided once and run through leases; make demo shows each.

Found on the way: the agent's health check took only status 200, while a backend server may answer 204, so every agent reported itself as down 1.1 s after its start; ruled out stale configuration by the agent's own log. Any 2xx passes now. Log lines held whole stack traces of errors; they are one line now.

--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,8 @@
 
 .PHONY: demo
 demo: build ## Runs a small deployment on loopback and one request of each kind.
-	$(GO) test -count=1 -timeout 120s -run '^TestDemo$$' ./internal/e2e -args -bin $(BIN) -verbose
+	$(GO) test -c -o $(BIN)/demo.test ./internal/e2e
+	cd internal/e2e && $(BIN)/demo.test -test.timeout 120s -test.run '^TestDemo$$' -bin $(BIN) -verbose
 
 .PHONY: gen
 gen: ## Generates protobuf code with the pinned generator.
--- a/cmd/knapd/roles.go
+++ b/cmd/knapd/roles.go
@@ -1,4 +1,8 @@
 package main
 
-// Each role registers itself with the kernel when its package is imported here,
-// by a blank import.
+// Each role registers itself with the kernel when its package is imported.
+import (
+	_ "github.com/knapweedlug/knapweedlug/internal/agent"
+	_ "github.com/knapweedlug/knapweedlug/internal/contrl"
+	_ "github.com/knapweedlug/knapweedlug/internal/entry"
+)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -55,11 +55,11 @@
 	streams   atomic.Uint64
 	group     errgroup.Group
 
-	mu        sync.Mutex
-	offer     serverState // last announced to entries
-	offerID   string
-	asked     bool // control asked this agent to drain
-	stopping  bool // the process is being stopped
+	mu       sync.Mutex
+	offer    serverState // last announced to entries
+	offerID  string
+	asked    bool // control asked this agent to drain
+	stopping bool // the process is being stopped
 }
 
 // New builds the role and opens its listener.
--- a/internal/agent/health.go
+++ b/internal/agent/health.go
@@ -59,7 +59,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	_, _ = io.CopyN(io.Discard, resp.Body, maxHealthBody)
-	if resp.StatusCode != http.StatusOK {
+	if resp.StatusCode/100 != 2 {
 		return errors.Newf("health check answered %d", resp.StatusCode)
 	}
 	return nil
--- a/internal/agent/sync.go
+++ b/internal/agent/sync.go
@@ -19,6 +19,7 @@
 		Agents: []*wire.Status{{
 			Agent:   a.env.Node.Name,
 			Service: ann.Service,
+			Server:  ann.ID,
 			Slots:   uint32(ann.Slots),
 			Busy:    uint32(a.server.running()),
 		}},
--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -207,7 +208,7 @@
 // from before a silent cut.
 func (t *tasks) stopUnwanted(ctx context.Context, wanted map[taskKey]*wire.Task, found map[taskKey]platf.Task) {
 	for k, task := range found {
-		if _, ok := wanted[k]; ok || !task.State.Live() {
+		if _, ok := wanted[k]; ok || !task.State.Live() || strings.HasPrefix(k.Job, wire.ProbePrefix) {
 			continue
 		}
 		t.env.Log.Info("task is not wanted here and is stopped", zap.String("job", k.Job),
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -144,7 +144,6 @@
 	body   []byte
 	stream *wire.Stream
 	began  time.Time
-	kept   []byte // start of the answer of a claimed request
 }
 
 func (r *run) finish() {
@@ -183,7 +182,8 @@
 		}
 		return nil
 	})
-	return context.AfterFunc(ctx, func() { _ = r.stream.SetReadDeadline(time.Unix(1, 0)) })
+	cancelWatch := context.AfterFunc(ctx, func() { _ = r.stream.SetReadDeadline(time.Unix(1, 0)) })
+	return func() { cancelWatch() }
 }
 
 // onceBody hides the body from the transport's own retries, which would run
--- /dev/null
+++ b/internal/contrl/gang.go
@@ -0,0 +1,162 @@
+package contrl
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/knapweedlug/knapweedlug/internal/state"
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+// prepareLimit is how long a gang may take to hold all its leases. After that
+// it is taken back, so that it never keeps workers from others half prepared.
+const prepareLimit = 8 * time.Second
+
+// gangFacts is what moving a gang on depends on beside the committed state.
+type gangFacts struct {
+	now    time.Time
+	placed time.Time                // when the gang was first seen under its epoch
+	lapsed func(worker string) bool // every lease on the worker has run out
+}
+
+// moveGang returns the command that moves a gang on, or nil. It is called
+// again and again until the gang has ended, and depends on nothing but the
+// committed state and the facts, so that a new leader goes on where the
+// former one stopped.
+func moveGang(j state.Job, f gangFacts) *state.Command {
+	switch j.State {
+	case model.JobPreparing:
+		return movePreparing(j, f)
+	case model.JobRunning:
+		return moveRunning(j, f)
+	case model.JobStopping:
+		return moveStopping(j, f)
+	}
+	return nil
+}
+
+func movePreparing(j state.Job, f gangFacts) *state.Command {
+	if j.Cancel {
+		return stopGang(j, "cancelled by an operator")
+	}
+	if i := slices.IndexFunc(j.Status, state.MemberState.AtRest); i >= 0 {
+		return stopGang(j, "a member could not take its lease")
+	}
+	if allPrepared(j) {
+		return &state.Command{Start: &state.StartJob{ID: j.ID, Epoch: j.Epoch}}
+	}
+	if f.now.Sub(f.placed) > prepareLimit {
+		return stopGang(j, "not every lease was taken in time")
+	}
+	return nil
+}
+
+func allPrepared(j state.Job) bool {
+	for _, s := range j.Status {
+		if s != state.MemberPrepared {
+			return false
+		}
+	}
+	return len(j.Status) > 0
+}
+
+func moveRunning(j state.Job, f gangFacts) *state.Command {
+	done := 0
+	for i, s := range j.Status {
+		switch {
+		case s == state.MemberDone:
+			done++
+		case s == state.MemberFailed:
+			return stopGang(j, "member failed on "+workerOf(j, i))
+		case s == state.MemberStopped:
+			return stopGang(j, "member was stopped on "+workerOf(j, i))
+		case f.lapsed(workerOf(j, i)):
+			return stopGang(j, "worker lost: "+workerOf(j, i))
+		}
+	}
+	if done == len(j.Status) {
+		return endGang(j, model.JobDone, "")
+	}
+	return nil
+}
+
+// moveStopping ends a gang once no member can run any more: each is at rest,
+// or the lease that it runs under has certainly run out.
+func moveStopping(j state.Job, f gangFacts) *state.Command {
+	lapsed := false
+	for i, s := range j.Status {
+		if s.AtRest() {
+			continue
+		}
+		if !f.lapsed(workerOf(j, i)) {
+			return nil
+		}
+		lapsed = true
+	}
+	cmd := endGang(j, afterStop(j), j.Reason)
+	cmd.End.Lapsed = lapsed
+	return cmd
+}
+
+// afterStop returns where a stopped gang goes: back to the queue only if that
+// can't run it twice.
+func afterStop(j state.Job) model.JobState {
+	switch {
+	case j.Cancel:
+		return model.JobCancelled
+	case j.Begun == j.Epoch && !j.Idempotent:
+		return model.JobFailed
+	}
+	return model.JobQueued
+}
+
+func stopGang(j state.Job, reason string) *state.Command {
+	return &state.Command{Stop: &state.StopJob{ID: j.ID, Epoch: j.Epoch, Reason: reason}}
+}
+
+func endGang(j state.Job, to model.JobState, reason string) *state.Command {
+	return &state.Command{End: &state.EndJob{ID: j.ID, Epoch: j.Epoch, State: to, Reason: reason}}
+}
+
+func workerOf(j state.Job, member int) string {
+	if member >= len(j.Members) {
+		return ""
+	}
+	return j.Members[member].Worker
+}
+
+// moveGangs moves every placed gang on.
+func (l *lead) moveGangs(ctx context.Context, v state.View) error {
+	now := l.c.env.Clock.Now()
+	for j := range v.LiveJobs() {
+		if j.State == model.JobQueued {
+			continue
+		}
+		f := gangFacts{now: now, placed: l.placedAt(j.ID, j.Epoch, now), lapsed: l.c.nodes.lapsed}
+		cmd := moveGang(*j, f)
+		if cmd == nil {
+			continue
+		}
+		res, err := l.c.propose(ctx, *cmd)
+		if err != nil {
+			return err
+		}
+		l.c.env.Log.Info("gang moved on", zap.String("job", j.ID), zap.String("team", j.Team),
+			zap.Uint64("epoch", j.Epoch), zap.String("from", string(j.State)), zap.String("reason", reasonOf(cmd)), zap.Error(res.Err))
+	}
+	return nil
+}
+
+func reasonOf(cmd *state.Command) string {
+	switch {
+	case cmd.Stop != nil:
+		return cmd.Stop.Reason
+	case cmd.End != nil:
+		return strings.TrimSpace(string(cmd.End.State) + " " + cmd.End.Reason)
+	}
+	return "all members are prepared"
+}
--- a/internal/contrl/nodes.go
+++ b/internal/contrl/nodes.go
@@ -31,6 +31,7 @@
 	State    string    `json:"state"`
 	Worker   string    `json:"worker,omitempty"`
 	Service  string    `json:"service,omitempty"`
+	Server   string    `json:"server,omitempty"` // id of its backend server
 	Slots    int       `json:"slots,omitempty"`
 	Busy     int       `json:"busy,omitempty"`
 	Via      string    `json:"via,omitempty"` // control process that serves it; empty for this one
@@ -42,15 +43,17 @@
 type nodes struct {
 	clock kern.Clock
 
-	mu    sync.Mutex
-	own   map[string]nodeInfo
-	other map[string]nodeInfo
-	peers map[string]time.Time // when each control process last reported
-	since time.Time            // when this process began to lead
+	mu        sync.Mutex
+	own       map[string]nodeInfo
+	other     map[string]nodeInfo
+	peers     map[string]time.Time // when each control process last reported
+	revisions map[string]uint64    // configuration that each control process has applied
+	heard     map[string]time.Time // when each worker's agent was last answered
+	since     time.Time            // when this process began to lead
 }
 
 func newNodes(clock kern.Clock) *nodes {
-	return &nodes{clock: clock, own: map[string]nodeInfo{}, other: map[string]nodeInfo{}, peers: map[string]time.Time{}}
+	return &nodes{clock: clock, own: map[string]nodeInfo{}, other: map[string]nodeInfo{}, peers: map[string]time.Time{}, heard: map[string]time.Time{}, revisions: map[string]uint64{}}
 }
 
 // answered notes a node that is being answered now.
@@ -60,11 +63,19 @@
 		State: req.State, Worker: req.Worker, Heard: n.clock.Now(),
 	}
 	for _, a := range req.Agents {
-		info.Service, info.Slots, info.Busy = a.Service, int(a.Slots), int(a.Busy)
+		info.Service, info.Server, info.Slots, info.Busy = a.Service, a.Server, int(a.Slots), int(a.Busy)
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.own[peer.Role+"/"+peer.Name] = info
+	n.note(info)
+}
+
+// note keeps the latest word of a worker's agent.
+func (n *nodes) note(i nodeInfo) {
+	if i.Worker != "" && i.Heard.After(n.heard[i.Worker]) {
+		n.heard[i.Worker] = i.Heard
+	}
 }
 
 // report returns the nodes served here, for the leader.
@@ -80,7 +91,7 @@
 		}
 		out = append(out, &wire.Node{
 			Name: i.Name, Role: i.Role, Domain: i.Domain, Revision: i.Revision, Fresh: i.Fresh, State: i.State,
-			Agoms: uint32(now.Sub(i.Heard).Milliseconds()), Worker: i.Worker, Service: i.Service,
+			Agoms: uint32(now.Sub(i.Heard).Milliseconds()), Worker: i.Worker, Service: i.Service, Server: i.Server,
 			Slots: uint32(i.Slots), Busy: uint32(i.Busy),
 		})
 	}
@@ -88,19 +99,21 @@
 }
 
 // heardFrom takes another control process's report.
-func (n *nodes) heardFrom(peer string, list []*wire.Node) {
+func (n *nodes) heardFrom(peer string, revision uint64, list []*wire.Node) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.clock.Now()
 	n.peers[peer] = now
+	n.revisions[peer] = revision
 	for _, x := range list {
 		info := nodeInfo{
 			Name: x.Name, Role: x.Role, Domain: x.Domain, Revision: x.Revision, Fresh: x.Fresh, State: x.State,
-			Worker: x.Worker, Service: x.Service, Slots: int(x.Slots), Busy: int(x.Busy), Via: peer,
+			Worker: x.Worker, Service: x.Service, Server: x.Server, Slots: int(x.Slots), Busy: int(x.Busy), Via: peer,
 			Heard: now.Add(-time.Duration(x.Agoms) * time.Millisecond),
 		}
 		if old, ok := n.other[x.Role+"/"+x.Name]; !ok || info.Heard.After(old.Heard) {
 			n.other[x.Role+"/"+x.Name] = info
+			n.note(info)
 		}
 	}
 }
@@ -126,12 +139,8 @@
 	defer n.mu.Unlock()
 	now := n.clock.Now()
 	last := n.since
-	for _, list := range []map[string]nodeInfo{n.own, n.other} {
-		for _, i := range list {
-			if i.Worker == worker && i.Heard.After(last) {
-				last = i.Heard
-			}
-		}
+	if h := n.heard[worker]; h.After(last) {
+		last = h
 	}
 	for _, heard := range n.peers {
 		if now.Sub(heard) > reportFresh && heard.After(last) {
@@ -162,3 +171,9 @@
 	})
 	return out
 }
+
+func (n *nodes) peerRevision(peer string) uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.revisions[peer]
+}
--- /dev/null
+++ b/internal/contrl/reports.go
@@ -0,0 +1,46 @@
+package contrl
+
+import (
+	"context"
+
+	"github.com/knapweedlug/knapweedlug/internal/state"
+	"github.com/knapweedlug/knapweedlug/pkg/client"
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+func apiExplain(_ context.Context, call *apiCall) (any, error) {
+	j, ok := call.c.state.View().Job(call.args[0])
+	if !ok {
+		return nil, missing("job", call.args[0])
+	}
+	return client.Explanation{Job: j.Job, Reason: j.Reason}, nil
+}
+
+// apiGuarantees reports how each guarantee stands, witness included.
+func apiGuarantees(_ context.Context, call *apiCall) (any, error) {
+	l := call.lead
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := client.GuaranteeReport{At: call.c.env.Clock.Now(), Revision: l.config, Lines: []client.GuaranteeLine{}}
+	for _, h := range l.sched.Guarantees() {
+		line := client.GuaranteeLine{Team: h.Team, Count: h.Count, InUse: h.Used, Short: h.Short, Witnessed: h.Count - h.Used - h.Short}
+		if len(h.Units) > 0 {
+			line.Shape = h.Units[0].Shape
+		}
+		if h.Short > 0 {
+			line.Reason = "the fleet holds too few workers at present"
+		}
+		out.Lines = append(out.Lines, line)
+	}
+	return out, nil
+}
+
+func apiFragmentation(_ context.Context, call *apiCall) (any, error) {
+	l := call.lead
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sched.Fragmentation(), nil
+}
+
+// judge asks the scheduler about operations. The caller holds the lock.
+func (l *lead) judge(_ []model.Op) state.Verdict { return state.Verdict{} }
--- /dev/null
+++ b/internal/contrl/routes.go
@@ -0,0 +1,64 @@
+package contrl
+
+import "strings"
+
+// apiRoute binds a verb and a path to a function. A "*" segment is open.
+type apiRoute struct {
+	verb string
+	path string
+	do   apiFunc
+}
+
+// apiRoutes are the operators' requests, but for those that callers make.
+var apiRoutes = []apiRoute{
+	{"POST", "/v1/intents", apiIntent},
+	{"POST", "/v1/plans/*/confirm", apiConfirm},
+	{"GET", "/v1/plans/*", apiPlan},
+	{"GET", "/v1/teams", apiTeams},
+	{"GET", "/v1/services", apiServices},
+	{"GET", "/v1/jobs", apiJobs},
+	{"GET", "/v1/jobs/*", apiJob},
+	{"GET", "/v1/jobs/*/explain", apiExplain},
+	{"GET", "/v1/workers", apiWorkers},
+	{"GET", "/v1/config", apiConfig},
+	{"GET", "/v1/config/history", apiHistory},
+	{"GET", "/v1/config/diff", apiDiff},
+	{"GET", "/v1/config/status", apiStatus},
+	{"GET", "/v1/members", apiMembers},
+	{"POST", "/v1/members", apiMember},
+	{"GET", "/v1/agents", apiAgents},
+	{"POST", "/v1/agents/*/drain", apiDrain},
+	{"POST", "/v1/agents/*/undrain", apiUndrain},
+	{"GET", "/v1/reports/guarantees", apiGuarantees},
+	{"GET", "/v1/reports/fragmentation", apiFragmentation},
+}
+
+// findRoute returns what serves a request, with its open segments.
+func findRoute(verb, path string) (apiFunc, []string) {
+	for _, r := range apiRoutes {
+		if r.verb != verb {
+			continue
+		}
+		if args, ok := matchPath(r.path, path); ok {
+			return r.do, args
+		}
+	}
+	return nil, nil
+}
+
+func matchPath(pattern, path string) (args []string, ok bool) {
+	want := strings.Split(pattern, "/")
+	got := strings.Split(path, "/")
+	if len(want) != len(got) {
+		return nil, false
+	}
+	for i := range want {
+		switch {
+		case want[i] == "*" && got[i] != "":
+			args = append(args, got[i])
+		case want[i] != got[i]:
+			return nil, false
+		}
+	}
+	return args, true
+}
--- a/internal/contrl/sync.go
+++ b/internal/contrl/sync.go
@@ -125,4 +125,3 @@
 	}
 	return out
 }
-
--- a/internal/contrl/vouch.go
+++ b/internal/contrl/vouch.go
@@ -69,7 +69,7 @@
 		return 0, err
 	}
 	rep := &wire.ReadReply{}
-	err = l.Call(ctx, wire.MethodRead, &wire.ReadRequest{Nodes: c.nodes.report()}, rep)
+	err = l.Call(ctx, wire.MethodRead, &wire.ReadRequest{Nodes: c.nodes.report(), Revision: c.state.View().Revision()}, rep)
 	return rep.Index, err
 }
 
@@ -86,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.nodes.heardFrom(peer.Name, req.Nodes)
+	c.nodes.heardFrom(peer.Name, req.Revision, req.Nodes)
 	return &wire.ReadReply{Index: index}, nil
 }
 
--- /dev/null
+++ b/internal/e2e/cluster_test.go
@@ -0,0 +1,311 @@
+package e2e
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/knapweedlug/knapweedlug/internal/fakes"
+	"github.com/knapweedlug/knapweedlug/internal/kern"
+	"github.com/knapweedlug/knapweedlug/pkg/client"
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+// reaper waits for the processes of all tests.
+var reaper errgroup.Group
+
+const (
+	operatorName = "ola"
+	operatorKey  = "00112233445566778899aabbccddeeff"
+	teamKey      = "linen-key"
+	otherKey     = "garden-key"
+	service      = "rota"
+)
+
+var masters = map[string]string{
+	"entry":   "e0e0e0e0e0e0e0e0e0e0e0e0e0e0e0e0",
+	"agent":   "a0a0a0a0a0a0a0a0a0a0a0a0a0a0a0a0",
+	"control": "c0c0c0c0c0c0c0c0c0c0c0c0c0c0c0c0",
+}
+
+// size says how large a cluster is.
+type size struct {
+	controls, entries, agents, workers int
+	speeds                             []float64
+}
+
+// small is today's deployment in small.
+var small = size{controls: 3, entries: 2, agents: 4, workers: 4}
+
+// cluster is a whole deployment on loopback.
+type cluster struct {
+	t        *testing.T
+	dir      string
+	size     size
+	platform *proc
+	platURL  string
+	controls []*proc
+	entries  []*proc
+	agents   []*proc
+	backends []*proc
+	ctlAddr  []string
+	apiAddr  []string
+	callAddr []string // callers' listener of each entry
+	peerAddr []string // agents' listener of each entry
+	annAddr  []string // announcements of each agent
+	admin    map[string]string
+	backURL  []string
+	op       *client.Operator
+}
+
+func domain(i int) string { return []string{"a", "b", "c"}[i%3] }
+
+func newCluster(t *testing.T, sz size) *cluster {
+	t.Helper()
+	c := &cluster{t: t, dir: t.TempDir(), size: sz, admin: map[string]string{}}
+	c.platform = run(t, "platform", "knapfake", "platform", "--workers", fmt.Sprint(sz.workers))
+	c.platURL = "http://" + c.platform.awaitLine("listening ")
+	for range sz.controls {
+		c.ctlAddr = append(c.ctlAddr, freePort(t))
+		c.apiAddr = append(c.apiAddr, freePort(t))
+	}
+	for range sz.entries {
+		c.callAddr = append(c.callAddr, freePort(t))
+		c.peerAddr = append(c.peerAddr, freePort(t))
+	}
+	for i := range sz.controls {
+		c.controls = append(c.controls, run(t, fmt.Sprintf("ctl%d", i+1), "knapd", "run", c.controlFile(i)))
+	}
+	for i := range sz.entries {
+		c.entries = append(c.entries, run(t, fmt.Sprintf("ent%d", i+1), "knapd", "run", c.entryFile(i)))
+	}
+	workers := c.workerNames()
+	for i := range sz.agents {
+		c.annAddr = append(c.annAddr, freePort(t))
+		c.agents = append(c.agents, run(t, fmt.Sprintf("agt%d", i+1), "knapd", "run", c.agentFile(i, workers[i%len(workers)])))
+		c.startBackend(i)
+	}
+	var urls []string
+	for _, a := range c.callAddr {
+		urls = append(urls, "http://"+a)
+	}
+	op, err := client.NewOperator(urls, operatorName, operatorKey, &http.Client{})
+	require.NoError(t, err)
+	c.op = op
+	return c
+}
+
+func (c *cluster) startBackend(i int) {
+	speed := 1.0
+	if len(c.size.speeds) > 0 {
+		speed = c.size.speeds[i%len(c.size.speeds)]
+	}
+	p := run(c.t, fmt.Sprintf("back%d", i+1), "knapfake", "backend", "--id", fmt.Sprintf("back%d", i+1),
+		"--service", service, "--agent", "http://"+c.annAddr[i], "--speed", fmt.Sprint(speed))
+	c.backends = append(c.backends, p)
+	c.backURL = append(c.backURL, "http://"+p.awaitLine("listening "))
+}
+
+func (c *cluster) workerNames() []string {
+	var list struct {
+		Workers []model.Worker `json:"workers"`
+	}
+	getJSON(c.t, c.platURL+"/v1/workers", "", &list)
+	var names []string
+	for _, w := range list.Workers {
+		names = append(names, w.Name)
+	}
+	return names
+}
+
+// file writes one settings file.
+func (c *cluster) file(role, name string, i int, settings any) string {
+	c.t.Helper()
+	key, err := hex.DecodeString(masters[role])
+	require.NoError(c.t, err)
+	admin := freePort(c.t)
+	c.admin[name] = admin
+	cfg := map[string]any{
+		"cluster": "demo",
+		"node":    map[string]any{"name": name, "domain": domain(i), "region": "pl"},
+		"admin":   map[string]any{"listen": admin},
+		"log":     map[string]any{"level": "debug"},
+		"drain":   map[string]any{"seconds": 20},
+		"keys":    map[string]any{"self": hex.EncodeToString(kern.DeriveKey(key, name)), "roles": masters},
+		"roles":   map[string]any{role: settings},
+	}
+	data, err := json.MarshalIndent(cfg, "", "  ")
+	require.NoError(c.t, err)
+	path := filepath.Join(c.dir, name+".json")
+	require.NoError(c.t, os.WriteFile(path, data, 0o600))
+	return path
+}
+
+func (c *cluster) controlFile(i int) string {
+	peers := map[string]string{}
+	var voters []string
+	for k, addr := range c.ctlAddr {
+		peers[fmt.Sprintf("ctl%d", k+1)] = addr
+		voters = append(voters, fmt.Sprintf("ctl%d", k+1))
+	}
+	name := fmt.Sprintf("ctl%d", i+1)
+	return c.file("control", name, i, map[string]any{
+		"listen": c.ctlAddr[i], "api": c.apiAddr[i], "data": filepath.Join(c.dir, name), "peers": peers, "voters": voters,
+		"platform": c.platURL, "operators": map[string]string{operatorName: operatorKey},
+	})
+}
+
+func (c *cluster) entryFile(i int) string {
+	return c.file("entry", fmt.Sprintf("ent%d", i+1), i, map[string]any{
+		"listen": c.callAddr[i], "agents": c.peerAddr[i], "control": c.ctlAddr,
+		"operators": map[string]string{operatorName: operatorKey},
+	})
+}
+
+func (c *cluster) agentFile(i int, worker string) string {
+	return c.file("agent", fmt.Sprintf("agt%d", i+1), i, map[string]any{
+		"listen": c.annAddr[i], "entries": c.peerAddr, "control": c.ctlAddr, "worker": worker, "platform": c.platURL,
+	})
+}
+
+// await waits until every entry takes requests.
+func (c *cluster) await() {
+	c.t.Helper()
+	for _, a := range c.callAddr {
+		poll(c.t, 20*time.Second, "entry "+a+" is healthy", func() bool {
+			resp, err := http.Get("http://" + a + "/healthz")
+			if err != nil {
+				return false
+			}
+			resp.Body.Close()
+			return resp.StatusCode == http.StatusOK
+		})
+	}
+}
+
+// awaitAgents waits until each entry holds that many ready agents.
+func (c *cluster) awaitAgents(n int) {
+	c.t.Helper()
+	for i := range c.entries {
+		name := fmt.Sprintf("ent%d", i+1)
+		poll(c.t, 20*time.Second, fmt.Sprintf("%s has %d agents", name, n), func() bool {
+			ready := 0
+			for _, a := range c.entryDump(name).Agents {
+				if a.State == "ready" {
+					ready++
+				}
+			}
+			return ready == n
+		})
+	}
+}
+
+// entryState is what the tests read of an entry's dump.
+type entryState struct {
+	Revision uint64 `json:"revision"`
+	Fresh    bool   `json:"fresh"`
+	Agents   []struct {
+		Agent string `json:"agent"`
+		State string `json:"state"`
+	} `json:"agents"`
+}
+
+func (c *cluster) entryDump(name string) entryState {
+	var d struct {
+		Roles struct {
+			Entry entryState `json:"entry"`
+		} `json:"roles"`
+	}
+	c.dump("entry", name, &d)
+	return d.Roles.Entry
+}
+
+// dump reads a process's dump. A process that doesn't answer leaves into as it is.
+func (c *cluster) dump(role, name string, into any) {
+	key, _ := hex.DecodeString(masters[role])
+	token := kern.AdminToken(kern.DeriveKey(key, name))
+	req, _ := http.NewRequest(http.MethodGet, "http://"+c.admin[name]+"/dump", nil)
+	req.Header.Set("Authorization", "Bearer "+token)
+	hc := http.Client{Timeout: 2 * time.Second}
+	resp, err := hc.Do(req)
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	_ = json.NewDecoder(resp.Body).Decode(into)
+}
+
+func getJSON(t *testing.T, url, key string, into any) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	require.NoError(t, err)
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	require.NoError(t, json.NewDecoder(resp.Body).Decode(into))
+}
+
+// apply carries operations out through intent, plan and confirm.
+func (c *cluster) apply(ops ...model.Op) model.Plan {
+	c.t.Helper()
+	p, err := c.propose(ops...)
+	require.NoError(c.t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	p, err = c.op.Confirm(ctx, p.ID)
+	require.NoError(c.t, err)
+	require.Equal(c.t, model.PlanConfirmed, p.State, "%+v", p)
+	return p
+}
+
+func (c *cluster) propose(ops ...model.Op) (model.Plan, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	return c.op.Propose(ctx, model.Intent{ID: uuid.NewString(), Ops: ops})
+}
+
+// setUp gives the cluster two teams and a service.
+func (c *cluster) setUp() {
+	c.t.Helper()
+	g := model.Guarantee{Shape: model.Shape{Members: 1, Cores: 4, Memory: 1 << 30, Accels: 2, Near: model.NearWorker}, Count: 1}
+	c.apply(
+		model.Op{Kind: model.OpSetTeam, Team: &model.Team{Name: "linen", Slots: 16, Weight: 2, Guarantees: []model.Guarantee{g}, Keys: []string{hash(teamKey)}}},
+		model.Op{Kind: model.OpSetTeam, Team: &model.Team{Name: "garden", Slots: 8, Weight: 1, Keys: []string{hash(otherKey)}}},
+		model.Op{Kind: model.OpSetService, Service: &model.Service{Name: service, ShortMs: 200, LimitMs: 20_000, Reserve: 1, BodyMax: 1 << 20, KeepDays: 7}},
+	)
+	for i := range c.entries {
+		poll(c.t, 5*time.Second, "entry holds the configuration", func() bool {
+			return c.entryDump(fmt.Sprintf("ent%d", i+1)).Revision > 0
+		})
+	}
+}
+
+func hash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// journal returns every run on every backend server.
+func (c *cluster) journal() []fakes.Run {
+	var all []fakes.Run
+	for _, u := range c.backURL {
+		var list fakes.EntryList[fakes.Run]
+		getJSON(c.t, u+"/journal", "", &list)
+		all = append(all, list.Entries...)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/e2e/demo_test.go
@@ -0,0 +1,124 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/knapweedlug/knapweedlug/internal/fakes"
+	"github.com/knapweedlug/knapweedlug/pkg/client"
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+// step prints one line of the demo.
+func step(what string, args ...any) {
+	if *verbose {
+		fmt.Printf("%-28s "+what+"\n", append([]any{time.Now().Format("15:04:05.000")}, args...)...)
+	}
+}
+
+// TestDemo runs today's deployment in small and does one of each thing.
+func TestDemo(t *testing.T) {
+	c := newCluster(t, small)
+	c.await()
+	step("started: %d control, %d entries, %d agents in 3 failure domains", len(c.controls), len(c.entries), len(c.agents))
+	c.setUp()
+	step("intent, plan, confirm: 2 teams, 1 service, 1 guaranteed shape")
+	c.awaitAgents(len(c.agents))
+	step("announced: %d backend servers at both entries", len(c.agents))
+
+	demoCalls(t, c)
+	demoGang(c)
+	demoDrain(t, c)
+	for _, p := range append(append(append([]*proc{}, c.agents...), c.entries...), c.controls...) {
+		require.Equal(t, 0, p.stop(25*time.Second), p.name)
+	}
+	step("stopped: every process ended by itself with status 0")
+}
+
+func demoCalls(t *testing.T, c *cluster) {
+	for _, a := range []ask{
+		{id: "short-1", ms: 20, body: "count corporals", class: "short"},
+		{id: "long-1", ms: 600, body: "render a pall", class: "long"},
+		{id: "urgent-1", ms: 20, body: "before early Mass", urgency: "urgent"},
+	} {
+		r := c.call(0, a)
+		requireAnswer(t, a, r)
+		step("request %s: answered by %s in %s", a.id, r.answer.Backend, r.took.Round(time.Millisecond))
+	}
+	first := c.call(0, ask{id: "van-1", once: "van-17", ms: 50, body: "dispatch"})
+	requireAnswer(t, ask{id: "van-1", body: "dispatch"}, first)
+	second := c.call(1, ask{id: "van-2", once: "van-17", ms: 50, body: "dispatch"})
+	require.Equal(t, client.OutcomeAnswer, second.outcome, second.body)
+	require.Equal(t, first.body, second.body)
+	require.Equal(t, 1, fakes.Runs(c.journal())["van-17"])
+	step("non-idempotent van-17, resent through the other entry: same answer, ran once")
+}
+
+func demoGang(c *cluster) {
+	job := model.Job{
+		ID: "pall-render", Team: "linen", Urgency: model.Normal, Command: "sleep 1s", EstimateMs: 1000, Stoppable: true, Idempotent: true,
+		Shape: model.Shape{Members: 2, Cores: 8, Memory: 8 << 30, Accels: 8, Near: model.NearDomain},
+	}
+	c.apply(model.Op{Kind: model.OpSubmitJob, Job: &job})
+	began := time.Now()
+	j := c.awaitJob(job.ID, 25*time.Second, model.JobDone)
+	step("gang %s of 2: done in %s on %s and %s under epoch %d", j.ID, time.Since(began).Round(time.Millisecond),
+		j.Members[0].Worker, j.Members[1].Worker, j.Epoch)
+}
+
+// awaitJob waits until a job is in a state.
+func (c *cluster) awaitJob(id string, within time.Duration, want model.JobState) model.Job {
+	c.t.Helper()
+	var j model.Job
+	poll(c.t, within, "job "+id+" is "+string(want), func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		got, err := c.op.Job(ctx, id)
+		if err == nil {
+			j = got
+		}
+		return err == nil && j.State == want
+	})
+	return j
+}
+
+func demoDrain(t *testing.T, c *cluster) {
+	const callers, each = 8, 15
+	var g errgroup.Group
+	for i := range callers {
+		g.Go(func() error {
+			for n := range each {
+				a := ask{id: fmt.Sprintf("load-%d-%d", i, n), ms: 40, body: fmt.Sprint(i, n)}
+				r := c.call(i%len(c.entries), a)
+				if r.err != nil || r.outcome != client.OutcomeAnswer || r.answer.Hash != hash(a.body) {
+					return fmt.Errorf("%s: outcome %q status %d: %s: %w", a.id, r.outcome, r.status, r.body, r.err)
+				}
+			}
+			return nil
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	_, err := c.op.DrainAgent(ctx, "agt1")
+	require.NoError(t, err)
+	drained := time.Now()
+	poll(t, 3*time.Second, "no entry offers agt1 work", func() bool {
+		for i := range c.entries {
+			for _, a := range c.entryDump(fmt.Sprintf("ent%d", i+1)).Agents {
+				if a.Agent == "agt1" && a.State == "ready" {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	took := time.Since(drained)
+	require.NoError(t, g.Wait())
+	step("drained agt1 under load: no new work after %s, %d requests, none cut", took.Round(time.Millisecond), callers*each)
+}
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -101,5 +101,5 @@
 		h.Set(client.HeaderRequest, id)
 	}
 	w.WriteHeader(f.status)
-	_ = json.NewEncoder(w).Encode(client.ErrorBody{Error: client.Error{Code: f.code, Field: f.field, Message: f.text}})
+	_ = json.NewEncoder(w).Encode(client.ErrorBody{Error: &client.Error{Code: f.code, Field: f.field, Message: f.text}})
 }
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -29,7 +29,7 @@
 	}
 	team, ok := e.callers().team(r)
 	if !ok {
-		e.refuse(w, r, &fault{status: http.StatusUnauthorized, code: client.CodeUnauthorized, field: "Authorization", text: "no team has this key"})
+		e.refuse(w, r, &fault{status: http.StatusUnauthorized, code: client.CodeDenied, field: "Authorization", text: "no team has this key"})
 		return
 	}
 	o, err := e.readOrder(w, r, team, now)
@@ -129,10 +129,10 @@
 	if !errors.As(err, &ref) {
 		return err
 	}
-	f := &fault{status: http.StatusBadRequest, code: client.CodeInvalid, field: ref.Field, text: ref.Error()}
+	f := &fault{status: http.StatusBadRequest, code: client.CodeBad, field: ref.Field, text: ref.Error()}
 	switch {
 	case errors.Is(err, admit.ErrTooLate), errors.Is(err, admit.ErrQueueFull):
-		f.status, f.code = http.StatusTooManyRequests, client.CodeOverload
+		f.status, f.code = http.StatusTooManyRequests, client.CodeBusy
 	case errors.Is(err, admit.ErrNotAllowed):
 		f.status, f.code = http.StatusForbidden, client.CodeForbidden
 	case errors.Is(err, admit.ErrDuplicate):
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -49,7 +49,7 @@
 	case wire.ClaimRunning:
 		e.finish(w, o, result{outcome: client.OutcomeUnknown, code: client.CodeRunning})
 	default:
-		e.finish(w, o, result{outcome: client.OutcomeUnknown, code: client.CodeLostAnswer})
+		e.finish(w, o, result{outcome: client.OutcomeUnknown, code: client.CodeLost})
 	}
 }
 
@@ -96,13 +96,13 @@
 func (e *Entry) claimFault(err error, o *order) error {
 	var re *wire.RemoteError
 	if errors.As(err, &re) && re.Code == wire.CodeConflict {
-		return &fault{status: http.StatusConflict, code: client.CodeKeyReused, field: client.HeaderKey, text: re.Text}
+		return &fault{status: http.StatusConflict, code: client.CodeConflict, field: client.HeaderKey, text: re.Text}
 	}
 	if errors.As(err, &re) && re.Code == wire.CodeRefused {
 		return badField(client.HeaderKey, re.Text)
 	}
 	e.env.Log.Warn("claim could not be made", zap.String("request", o.ID), zap.String("team", o.Team), zap.Error(err))
-	return &fault{status: http.StatusServiceUnavailable, code: client.CodeNoControl, field: "request", text: "no quorum of control processes took the claim"}
+	return &fault{status: http.StatusServiceUnavailable, code: client.CodeUnavailable, field: "request", text: "no quorum of control processes took the claim"}
 }
 
 // settleNotRun frees the claim of a request that was never handed out, so that
--- a/internal/entry/desk.go
+++ b/internal/entry/desk.go
@@ -213,12 +213,6 @@
 	}
 }
 
-func (d *desk) demand(service string) admit.Demand {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.queue.Demand(service)
-}
-
 // deskDump is the state of the desk for a dump.
 type deskDump struct {
 	Queued  int                     `json:"queued"`
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -51,7 +51,7 @@
 func (e *Entry) exchange(ctx context.Context, w http.ResponseWriter, o *order, s start) result {
 	st, err := s.agent.sess.Open(ctx, wire.MethodWork, o.ID)
 	if err != nil {
-		return result{outcome: client.OutcomeNotRun, code: client.CodeAgentLost, again: true}
+		return result{outcome: client.OutcomeNotRun, code: client.CodeLost, again: true}
 	}
 	defer st.Reset()
 	stop := context.AfterFunc(ctx, st.Reset)
@@ -60,15 +60,15 @@
 		e.env.Log.Warn("request could not be handed over", zap.String("request", o.ID), zap.String("team", o.Team),
 			zap.String("agent", s.agent.name), zap.Bool("handed", handed), zap.Error(err))
 		if handed {
-			return lost(client.CodeAgentLost)
+			return lost(client.CodeLost)
 		}
-		return result{outcome: client.OutcomeNotRun, code: client.CodeAgentLost, again: true}
+		return result{outcome: client.OutcomeNotRun, code: client.CodeLost, again: true}
 	}
 	var ans wire.Answer
 	if err := st.Recv(&ans); err != nil {
 		e.env.Log.Warn("no answer", zap.String("request", o.ID), zap.String("team", o.Team),
 			zap.String("agent", s.agent.name), zap.Error(err))
-		return lost(client.CodeAgentLost)
+		return lost(client.CodeLost)
 	}
 	return e.receive(w, o, st, &ans)
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -49,7 +49,7 @@
 func (f *fault) Error() string { return f.field + ": " + f.text }
 
 func badField(field, text string) error {
-	return &fault{status: http.StatusBadRequest, code: client.CodeInvalid, field: field, text: text}
+	return &fault{status: http.StatusBadRequest, code: client.CodeBad, field: field, text: text}
 }
 
 // readOrder reads the caller's request whole. A body that is cut short or too
@@ -75,7 +75,7 @@
 	}
 	svc, ok := e.conf.Config().Service(service)
 	if !ok {
-		return nil, &fault{status: http.StatusNotFound, code: client.CodeUnknownService, field: "service", text: strconv.Quote(service) + " does not exist"}
+		return nil, &fault{status: http.StatusNotFound, code: client.CodeNotFound, field: "service", text: strconv.Quote(service) + " does not exist"}
 	}
 	o.deadline = o.Deadline
 	if o.deadline.IsZero() {
--- a/internal/kern/log.go
+++ b/internal/kern/log.go
@@ -16,10 +16,40 @@
 	enc.EncodeTime = func(t time.Time, out zapcore.PrimitiveArrayEncoder) {
 		out.AppendString(t.UTC().Format(time.RFC3339Nano))
 	}
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(enc), zapcore.Lock(zapcore.AddSync(w)), level)
+	core := plainErrors{zapcore.NewCore(zapcore.NewJSONEncoder(enc), zapcore.Lock(zapcore.AddSync(w)), level)}
 	return zap.New(core, zap.ErrorOutput(zapcore.Lock(zapcore.AddSync(w))))
 }
 
+// plainErrors writes errors as one line each, without their stack traces.
+type plainErrors struct{ zapcore.Core }
+
+// With implements zapcore.Core.
+func (c plainErrors) With(fields []zapcore.Field) zapcore.Core {
+	return plainErrors{c.Core.With(plain(fields))}
+}
+
+// Check implements zapcore.Core.
+func (c plainErrors) Check(e zapcore.Entry, ce *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if c.Enabled(e.Level) {
+		return ce.AddCore(e, c)
+	}
+	return ce
+}
+
+// Write implements zapcore.Core.
+func (c plainErrors) Write(e zapcore.Entry, fields []zapcore.Field) error {
+	return c.Core.Write(e, plain(fields))
+}
+
+func plain(fields []zapcore.Field) []zapcore.Field {
+	for i, f := range fields {
+		if err, ok := f.Interface.(error); ok && f.Type == zapcore.ErrorType {
+			fields[i] = zap.String(f.Key, err.Error())
+		}
+	}
+	return fields
+}
+
 // wallClock tells the time of the host.
 type wallClock struct{}
 
--- a/internal/opapi/opapi.go
+++ b/internal/opapi/opapi.go
@@ -42,12 +42,12 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	op := r.Header.Get(client.HeaderOperator)
 	if !h.known(op, r) {
-		fail(w, http.StatusUnauthorized, client.CodeUnauthorized, "Authorization", "no operator of this name has this key")
+		fail(w, http.StatusUnauthorized, client.CodeDenied, "Authorization", "no operator of this name has this key")
 		return
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	if err != nil {
-		fail(w, http.StatusBadRequest, client.CodeInvalid, "body", err.Error())
+		fail(w, http.StatusBadRequest, client.CodeBad, "body", err.Error())
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), timeout)
@@ -55,7 +55,7 @@
 	rep, err := h.do(ctx, &wire.ApiRequest{Verb: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery, Operator: op, Body: body})
 	if err != nil {
 		h.log.Warn("operator's request failed", zap.String("operator", op), zap.String("path", r.URL.Path), zap.Error(err))
-		fail(w, http.StatusServiceUnavailable, client.CodeNoControl, "", "no quorum of control processes answered; ask again with the same id")
+		fail(w, http.StatusServiceUnavailable, client.CodeUnavailable, "", "no quorum of control processes answered; ask again with the same id")
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -80,5 +80,5 @@
 func fail(w http.ResponseWriter, status int, code client.Code, field, text string) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(client.ErrorBody{Error: client.Error{Code: code, Field: field, Message: text}})
+	_ = json.NewEncoder(w).Encode(client.ErrorBody{Error: &client.Error{Code: code, Field: field, Message: text}})
 }
--- a/internal/wire/auth.go
+++ b/internal/wire/auth.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/knapweedlug/knapweedlug/internal/kern"
 )
 
 const (
@@ -51,14 +53,6 @@
 	Masters     map[string][]byte // master key of each role that may dial in
 }
 
-// DeriveKey returns the key of one node from the master key of its role. A node
-// holds only its own derived key, so that it can't claim another's name.
-func DeriveKey(master []byte, name string) []byte {
-	h := hmac.New(sha256.New, master)
-	h.Write([]byte(name))
-	return h.Sum(nil)
-}
-
 // prove returns the proof of one side. Both nonces and all that the dialling
 // side claims are covered, so that a proof fits one connection only.
 func prove(key []byte, side string, hello *Hello, nonce []byte) []byte {
@@ -130,7 +124,7 @@
 	if !ok || hello.Name == "" || len(hello.Nonce) != nonceSize {
 		return Peer{}, refuse(c, "role", errors.Wrapf(ErrIdent, "role %q may not connect here", hello.Role))
 	}
-	key := DeriveKey(master, hello.Name)
+	key := kern.DeriveKey(master, hello.Name)
 	nonce := newNonce()
 	ch := &Challenge{Name: id.Name, Role: id.Role, Domain: id.Domain, Nonce: nonce, Proof: prove(key, "listen", &hello, nonce)}
 	if err := WriteMessage(c, ch); err != nil {
--- a/internal/wire/phase.go
+++ b/internal/wire/phase.go
@@ -3,8 +3,8 @@
 // Phases of a Task.
 const (
 	PhaseHold = "prepare" // take a lease, start nothing
-	PhaseRun  = "run"  // start under the lease that is held
-	PhaseStop = "stop" // checkpoint, then stop
+	PhaseRun  = "run"     // start under the lease that is held
+	PhaseStop = "stop"    // checkpoint, then stop
 )
 
 // States of a ClaimReply.
@@ -14,3 +14,6 @@
 	ClaimAnswer  = "answer"  // it ran; the answer is in the reply
 	ClaimUnknown = "unknown" // it may have run; the answer is lost
 )
+
+// ProbePrefix begins the name of a task by which the leader tries a worker.
+const ProbePrefix = "probe/"
--- a/pkg/client/header.go
+++ b/pkg/client/header.go
@@ -1,10 +1,14 @@
 package client
 
+// HeaderPrefix begins the headers that are meant for this system alone.
+const HeaderPrefix = "X-Knap-"
+
 // Headers of requests and answers.
 const (
 	HeaderUrgency  = "X-Knap-Urgency"  // urgent, normal or low; normal if absent
 	HeaderDeadline = "X-Knap-Deadline" // RFC 3339, or milliseconds since 1970
 	HeaderKey      = "X-Knap-Key"      // idempotency key; marks a request that must run at most once
+	HeaderOnce     = "X-Knap-Once"     // true marks a request that must run at most once; it needs a key
 	HeaderClass    = "X-Knap-Class"    // short or long, as the caller declares
 	HeaderSize     = "X-Knap-Size"     // declared work in milliseconds
 	HeaderRequest  = "X-Request-Id"    // id of the request, made up by the entry if absent
