e2e: failure tests of the request path

The first run of the leaving test failed since another socket had taken a port between its choice and its use; ports now come from below the range that the system gives out.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,8 @@
 test: lint vet ## Formatter, linter, vet, then every test under the race detector.
 	$(GO) build ./...
 	$(GO) build -o $(BIN)/verdict ./internal/tool/verdict
-	$(GO) test -json -race -count=1 -timeout 20m ./... -rapid.seed=$(SEED) | $(BIN)/verdict
+	( $(GO) test -json -race -count=1 -timeout 20m $$($(GO) list ./... | grep -v /internal/e2e) ; \
+	  $(GO) test -json -race -count=1 -timeout 20m ./internal/e2e ) | $(BIN)/verdict
 
 .PHONY: lint
 lint: $(LINT) ## Fails on unformatted code and on lint findings.
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -309,3 +310,15 @@
 	}
 	return all
 }
+
+func putJSON(t *testing.T, url string, body any) {
+	t.Helper()
+	data, err := json.Marshal(body)
+	require.NoError(t, err)
+	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(data))
+	require.NoError(t, err)
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	resp.Body.Close()
+	require.Less(t, resp.StatusCode, 300)
+}
--- /dev/null
+++ b/internal/e2e/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package e2e
+
+var buildFlags []string
--- a/internal/e2e/proc_test.go
+++ b/internal/e2e/proc_test.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -34,7 +35,8 @@
 	if err != nil {
 		return "", err
 	}
-	out, err := exec.Command("go", "build", "-o", dir+"/", "../../cmd/...").CombinedOutput()
+	args := append([]string{"build"}, buildFlags...)
+	out, err := exec.Command("go", append(args, "-o", dir+"/", "../../cmd/knapd", "../../cmd/knapfake")...).CombinedOutput()
 	if err != nil {
 		return "", fmt.Errorf("build: %w\n%s", err, out)
 	}
@@ -87,6 +89,9 @@
 	p.start()
 	t.Cleanup(func() {
 		p.kill()
+		if strings.Contains(p.log.String(), "DATA RACE") {
+			t.Errorf("%s: data race\n%s", name, p.log.String())
+		}
 		if t.Failed() {
 			t.Logf("== %s\n%s", name, tail(p.log.String(), 12))
 		}
@@ -170,11 +175,27 @@
 	}
 }
 
+// nextPort counts through ports below those that the system gives to outgoing
+// connections, which could take one between its choice and its use.
+var nextPort atomic.Int64
+
+const (
+	firstPort = 12_000
+	portRange = 18_000
+)
+
 // freePort returns a loopback address that nobody listens on.
 func freePort(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer ln.Close()
-	return ln.Addr().String()
+	for range portRange {
+		n := (nextPort.Add(1) + int64(os.Getpid())*61) % portRange
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+n)
+		ln, err := net.Listen("tcp", addr)
+		if err == nil {
+			ln.Close()
+			return addr
+		}
+	}
+	require.Fail(t, "no free port")
+	return ""
 }
--- /dev/null
+++ b/internal/e2e/request_test.go
@@ -0,0 +1,344 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/knapweedlug/knapweedlug/internal/fakes"
+	"github.com/knapweedlug/knapweedlug/pkg/client"
+)
+
+// ready starts a small cluster that takes requests.
+func ready(t *testing.T, sz size) *cluster {
+	t.Helper()
+	c := newCluster(t, sz)
+	c.await()
+	c.setUp()
+	c.awaitAgents(len(c.agents))
+	return c
+}
+
+// load sends requests through every entry until stop is closed.
+type load struct {
+	stop    chan struct{}
+	group   errgroup.Group
+	mu      sync.Mutex
+	replies map[string]reply
+}
+
+// startLoad begins a stream of short requests from several callers. With keys,
+// every request is non-idempotent.
+func (c *cluster) startLoad(callers int, keys bool) *load {
+	l := &load{stop: make(chan struct{}), replies: map[string]reply{}}
+	for i := range callers {
+		l.group.Go(func() error {
+			for n := 0; ; n++ {
+				select {
+				case <-l.stop:
+					return nil
+				default:
+				}
+				a := ask{id: fmt.Sprintf("load-%d-%d", i, n), ms: 20}
+				a.body = a.id
+				if keys {
+					a.once = "key-" + a.id
+				}
+				r := c.call((i+n)%len(c.entries), a)
+				l.mu.Lock()
+				l.replies[a.id] = r
+				l.mu.Unlock()
+			}
+		})
+	}
+	return l
+}
+
+// end stops the load and returns what every caller got.
+func (l *load) end(t *testing.T) map[string]reply {
+	t.Helper()
+	close(l.stop)
+	require.NoError(t, l.group.Wait())
+	return l.replies
+}
+
+// TestRollingRestart restarts every process in turn under load: no request may
+// be cut, refused or lost.
+func TestRollingRestart(t *testing.T) {
+	c := ready(t, small)
+	l := c.startLoad(6, false)
+	restart := func(p *proc) {
+		require.Equal(t, 0, p.stop(25*time.Second), p.name)
+		p.start()
+	}
+	for i, p := range c.agents {
+		restart(p)
+		c.awaitAgents(len(c.agents))
+		t.Log("restarted agent", i)
+	}
+	for _, p := range c.controls {
+		restart(p)
+		c.await()
+		c.awaitLeader()
+	}
+	replies := l.end(t)
+	require.NotEmpty(t, replies)
+	for id, r := range replies {
+		requireAnswer(t, ask{id: id, body: id}, r)
+	}
+	// Behind the platform's balancer an entry that drains gets no new callers;
+	// here the callers of the other entry go on meanwhile.
+	for i, p := range c.entries {
+		other := (i + 1) % len(c.entries)
+		var g errgroup.Group
+		running := make(chan reply, 1)
+		g.Go(func() error {
+			running <- c.call(i, ask{id: "slow", ms: 500, body: "slow"})
+			return nil
+		})
+		poll(t, 5*time.Second, "the slow request runs", func() bool { return c.runs("slow") > i })
+		restart(p)
+		require.NoError(t, g.Wait())
+		requireAnswer(t, ask{id: "slow", body: "slow"}, <-running)
+		requireAnswer(t, ask{body: "x"}, c.call(other, ask{ms: 5, body: "x"}))
+		c.await()
+		c.awaitAgents(len(c.agents))
+	}
+}
+
+// runs returns how often a request has begun on any backend server.
+func (c *cluster) runs(id string) int {
+	n := 0
+	for _, r := range c.journal() {
+		if r.Request == id && !r.Refused {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *cluster) awaitLeader() {
+	c.t.Helper()
+	poll(c.t, 10*time.Second, "a leader answers operators", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err := c.op.Members(ctx)
+		return err == nil
+	})
+}
+
+// TestAtMostOnce kills an entry and an agent together, twice, under a stream
+// of non-idempotent requests, and resends what got no answer.
+func TestAtMostOnce(t *testing.T) {
+	c := ready(t, small)
+	l := c.startLoad(6, true)
+	for round := range 2 {
+		time.Sleep(300 * time.Millisecond)
+		c.entries[0].kill()
+		c.agents[round].kill()
+		time.Sleep(200 * time.Millisecond)
+		c.entries[0].start()
+		c.agents[round].start()
+		c.await()
+		c.awaitAgents(len(c.agents))
+	}
+	replies := l.end(t)
+	unknown := 0
+	for id, r := range replies {
+		if r.err == nil && r.outcome == client.OutcomeAnswer {
+			continue
+		}
+		unknown++
+		again := c.call(1, ask{id: "again-" + id, once: "key-" + id, ms: 20, body: id, within: 300 * time.Millisecond})
+		require.NoError(t, again.err)
+	}
+	checkRuns(t, c, replies)
+	t.Logf("%d requests, %d without an answer at first", len(replies), unknown)
+}
+
+// checkRuns compares what callers were told with what ran.
+func checkRuns(t *testing.T, c *cluster, replies map[string]reply) {
+	t.Helper()
+	counts := map[string]int{}
+	for _, r := range c.journal() {
+		if !r.Refused {
+			counts[r.Key]++
+		}
+	}
+	for key, n := range counts {
+		require.LessOrEqual(t, n, 1, "%s ran %d times", key, n)
+	}
+	for id, r := range replies {
+		if r.err == nil && r.outcome == client.OutcomeAnswer {
+			require.Equal(t, 1, counts["key-"+id], id)
+			require.Equal(t, hash(id), r.answer.Hash)
+		}
+	}
+}
+
+// TestNotRunIsTrue floods the cluster far beyond its capacity and checks that
+// no refused request ran.
+func TestNotRunIsTrue(t *testing.T) {
+	c := ready(t, size{controls: 3, entries: 2, agents: 2, workers: 2})
+	var g errgroup.Group
+	var mu sync.Mutex
+	replies := map[string]reply{}
+	for i := range 300 {
+		g.Go(func() error {
+			a := ask{id: fmt.Sprintf("flood-%d", i), ms: 100, body: "x", within: 400 * time.Millisecond}
+			r := c.call(i%2, a)
+			mu.Lock()
+			defer mu.Unlock()
+			replies[a.id] = r
+			return nil
+		})
+	}
+	require.NoError(t, g.Wait())
+	ran := map[string]int{}
+	for _, r := range c.journal() {
+		ran[r.Request]++
+	}
+	outcomes := map[client.Outcome]int{}
+	for id, r := range replies {
+		require.NoError(t, r.err, id)
+		outcomes[r.outcome]++
+		switch r.outcome {
+		case client.OutcomeNotRun:
+			require.Zero(t, ran[id], "%s: %s", id, r.body)
+		case client.OutcomeAnswer:
+			require.Equal(t, 1, ran[id], id)
+		}
+	}
+	t.Log(outcomes)
+	require.Positive(t, outcomes[client.OutcomeAnswer])
+	require.Positive(t, outcomes[client.OutcomeNotRun])
+}
+
+// TestBackendLeaves checks that a backend server that leaves, and one that
+// freezes, get no new work after 3 s, while what runs there finishes.
+func TestBackendLeaves(t *testing.T) {
+	c := ready(t, small)
+	l := c.startLoad(6, false)
+	time.Sleep(200 * time.Millisecond)
+	req, err := http.NewRequest(http.MethodPut, c.backURL[0]+"/leave", nil)
+	require.NoError(t, err)
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	resp.Body.Close()
+	time.Sleep(3 * time.Second)
+	left := time.Now()
+	time.Sleep(500 * time.Millisecond)
+	replies := l.end(t)
+	for id, r := range replies {
+		requireAnswer(t, ask{id: id, body: id}, r)
+	}
+	for _, r := range c.journal() {
+		if r.Backend == "back1" {
+			require.True(t, r.Started.Before(left), "work began %s after the backend server left", r.Started.Sub(left)+3*time.Second)
+		}
+	}
+}
+
+// TestWrongRequests sends requests that must be refused as not run, each with
+// an error that names the field.
+func TestWrongRequests(t *testing.T) {
+	c := ready(t, size{controls: 3, entries: 1, agents: 1, workers: 1})
+	base := "http://" + c.callAddr[0] + client.PathCall
+	past := fmt.Sprint(time.Now().Add(-time.Second).UnixMilli())
+	tests := []struct {
+		name, path, key string
+		header          map[string]string
+		body            io.Reader
+		status          int
+		field           string
+	}{
+		{name: "unknown team", path: service + "/work?ms=1", key: "nobody", status: 401, field: "Authorization"},
+		{name: "unknown service", path: "nothing/work?ms=1", key: teamKey, status: 404, field: "service"},
+		{name: "deadline in the past", path: service + "/work?ms=1", key: teamKey, header: map[string]string{client.HeaderDeadline: past}, status: 400, field: client.HeaderDeadline},
+		{name: "malformed deadline", path: service + "/work?ms=1", key: teamKey, header: map[string]string{client.HeaderDeadline: "soon"}, status: 400, field: client.HeaderDeadline},
+		{name: "key of 10 kB", path: service + "/work?ms=1", key: teamKey, header: map[string]string{client.HeaderKey: strings.Repeat("k", 10_000)}, status: 400, field: client.HeaderKey},
+		{name: "missing key", path: service + "/work?ms=1", key: teamKey, header: map[string]string{client.HeaderOnce: "true"}, status: 400, field: client.HeaderKey},
+		{name: "oversized body", path: service + "/work?ms=1", key: teamKey, body: strings.NewReader(strings.Repeat("x", 2<<20)), status: 413, field: "body"},
+		{name: "negative size", path: service + "/work?ms=1", key: teamKey, header: map[string]string{client.HeaderSize: "-5"}, status: 400, field: client.HeaderSize},
+		{name: "unknown urgency", path: service + "/work?ms=1", key: teamKey, header: map[string]string{client.HeaderUrgency: "now"}, status: 400, field: "urgency"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			req, err := http.NewRequest(http.MethodPost, base+tt.path, tt.body)
+			require.NoError(t, err)
+			req.Header.Set("Authorization", "Bearer "+tt.key)
+			for k, v := range tt.header {
+				req.Header.Set(k, v)
+			}
+			resp, err := http.DefaultClient.Do(req)
+			require.NoError(t, err)
+			defer resp.Body.Close()
+			body, err := io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			require.Equal(t, tt.status, resp.StatusCode, string(body))
+			require.Equal(t, string(client.OutcomeNotRun), resp.Header.Get(client.HeaderOutcome))
+			require.Contains(t, string(body), `"field":"`+tt.field+`"`)
+		})
+	}
+	t.Run("same key with another body", func(t *testing.T) {
+		requireAnswer(t, ask{body: "a"}, c.call(0, ask{once: "k1", body: "a"}))
+		r := c.call(0, ask{once: "k1", body: "b"})
+		require.Equal(t, http.StatusConflict, r.status, r.body)
+		require.Equal(t, client.OutcomeNotRun, r.outcome)
+	})
+	t.Run("body cut short", func(t *testing.T) { cutBody(t, c) })
+	t.Run("huge header", func(t *testing.T) { hugeHeader(t, c) })
+	t.Run("nothing of it ran", func(t *testing.T) {
+		require.Len(t, c.journal(), 1)
+	})
+}
+
+func cutBody(t *testing.T, c *cluster) {
+	conn, err := net.Dial("tcp", c.callAddr[0])
+	require.NoError(t, err)
+	fmt.Fprintf(conn, "POST /v1/call/%s/work?ms=1 HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\n\r\nhalf", service, teamKey)
+	require.NoError(t, conn.(*net.TCPConn).CloseWrite())
+	answer, err := io.ReadAll(conn)
+	require.NoError(t, err)
+	require.Contains(t, string(answer), "cut short")
+	conn.Close()
+}
+
+func hugeHeader(t *testing.T, c *cluster) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+c.callAddr[0]+client.PathCall+service+"/work?ms=1", nil)
+	require.NoError(t, err)
+	req.Header.Set("X-Big", strings.Repeat("x", 64<<10))
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	resp.Body.Close()
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, resp.StatusCode)
+}
+
+// TestCutAnswer checks that an answer cut at the backend server never passes
+// for whole.
+func TestCutAnswer(t *testing.T) {
+	c := ready(t, size{controls: 3, entries: 1, agents: 1, workers: 1})
+	c.fault(0, fakes.BackendFault{Cut: true})
+	r := c.call(0, ask{once: "cut-1", body: "x", ms: 1})
+	require.NoError(t, r.err)
+	require.Equal(t, client.OutcomeUnknown, r.outcome, r.body)
+	c.fault(0, fakes.BackendFault{Huge: 3 << 20})
+	big := c.call(0, ask{body: "y", ms: 1})
+	requireAnswer(t, ask{body: "y"}, big)
+	require.Len(t, big.answer.Pad, 3<<20)
+}
+
+// fault sets what is wrong with a backend server.
+func (c *cluster) fault(i int, f fakes.BackendFault) {
+	c.t.Helper()
+	putJSON(c.t, c.backURL[i]+"/fault", f)
+}
