--- a/internal/conf/holder.go
+++ b/internal/conf/holder.go
@@ -64,7 +64,8 @@
 // Vouch says that the revision held is known to be current until a deadline:
 // the time at which the question was sent plus Bound, less the age of what a
 // relay knew. It has no effect while a higher revision is known to exist or
-// nothing is held, and never moves the deadline back.
+// nothing is held, and never moves the deadline back. Callers that were told
+// which revision is current use VouchAt.
 func (h *Holder) Vouch(deadline time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -76,6 +77,13 @@
 	}
 }
 
+// VouchAt takes in the answer that a revision is current: it notes that the
+// revision exists, and vouches if that is the one held.
+func (h *Holder) VouchAt(revision uint64, deadline time.Time) {
+	h.Hear(revision)
+	h.Vouch(deadline)
+}
+
 // Fresh reports whether the revision held may be acted upon.
 func (h *Holder) Fresh(now time.Time) bool {
 	h.mu.RLock()
