--- a/internal/conf/holder_test.go
+++ b/internal/conf/holder_test.go
@@ -111,7 +111,7 @@
 					d = between(rapid.Uint64Range(0, to).Draw(t, "from"), to)
 				}
 				if h.Apply(d) == nil {
-					held = to
+					held = max(held, to)
 				}
 			},
 			"poll": func(t *rapid.T) {
--- /dev/null
+++ b/internal/state/gang_test.go
@@ -0,0 +1,207 @@
+package state
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+// lease is one member of a job under one epoch.
+type lease struct {
+	TaskRef
+	epoch uint64
+}
+
+// fakeAgent carries out what its worker is assigned.
+type fakeAgent struct {
+	version uint64
+	held    map[lease]MemberState
+}
+
+// fleetModel runs jobs on fake agents whose assignments and reports are late,
+// doubled and out of order, and follows what ran.
+type fleetModel struct {
+	rig     *rig
+	agents  map[string]*fakeAgent
+	inbox   []Assignment               // answers on their way to agents
+	outbox  []MemberReport             // reports on their way to the leader
+	lapsed  map[uint64]bool            // epochs whose leases have run out
+	ran     map[string]map[uint64]bool // job to the epochs under which a member ran
+	started map[uint64]bool            // epochs for which a start was committed
+}
+
+func newFleetModel(t *rapid.T) *fleetModel {
+	m := &fleetModel{
+		rig: newRig(t), agents: map[string]*fakeAgent{}, lapsed: map[uint64]bool{},
+		ran: map[string]map[uint64]bool{"j0": {}, "j1": {}}, started: map[uint64]bool{},
+	}
+	m.rig.fleet(3)
+	for w := range m.rig.s.View().Workers() {
+		m.agents[w.Name] = &fakeAgent{held: map[lease]MemberState{}}
+	}
+	m.rig.carry(setTeam("linen", 1))
+	m.rig.carry(submit("j0", "linen", 2, true), submit("j1", "linen", 2, false))
+	return m
+}
+
+func drawJob(t *rapid.T) string { return rapid.SampledFrom([]string{"j0", "j1"}).Draw(t, "job") }
+
+// epoch draws the current epoch of a job, or one that is made up.
+func (m *fleetModel) epoch(t *rapid.T, id string) uint64 {
+	if rapid.IntRange(0, 4).Draw(t, "stale") == 0 {
+		return rapid.Uint64Range(0, m.rig.index).Draw(t, "epoch")
+	}
+	return m.rig.job(id).Epoch
+}
+
+func (m *fleetModel) place(t *rapid.T) {
+	members := []model.Member{{Index: 0, Worker: drawWorker(t)}, {Index: 1, Worker: drawWorker(t)}}
+	m.rig.apply(Command{Place: &PlaceJob{ID: drawJob(t), Members: members}})
+}
+
+func (m *fleetModel) start(t *rapid.T) {
+	id := drawJob(t)
+	c := StartJob{ID: id, Epoch: m.epoch(t, id)}
+	if m.rig.apply(Command{Start: &c}).Err == nil {
+		m.started[c.Epoch] = true
+	}
+}
+
+func (m *fleetModel) stop(t *rapid.T) {
+	id := drawJob(t)
+	m.rig.apply(Command{Stop: &StopJob{ID: id, Epoch: m.epoch(t, id), Reason: "reclaim"}})
+}
+
+func (m *fleetModel) end(t *rapid.T) {
+	id := drawJob(t)
+	c := EndJob{ID: id, Epoch: m.epoch(t, id), State: model.JobQueued}
+	c.Lapsed = rapid.IntRange(0, 3).Draw(t, "lapsed") == 0
+	if rapid.IntRange(0, 5).Draw(t, "done") == 0 {
+		c.State = model.JobDone
+	}
+	if c.Lapsed {
+		m.lapse(c.Epoch)
+	}
+	m.rig.apply(Command{End: &c})
+}
+
+// lapse lets every lease under an epoch run out.
+func (m *fleetModel) lapse(epoch uint64) {
+	m.lapsed[epoch] = true
+	for _, a := range m.agents {
+		for l := range a.held {
+			if l.epoch == epoch {
+				delete(a.held, l)
+			}
+		}
+	}
+}
+
+func (m *fleetModel) poll(t *rapid.T) {
+	name := drawWorker(t)
+	if a, ok := m.rig.s.View().Assignments(name, m.agents[name].version); ok {
+		m.inbox = append(m.inbox, a)
+	}
+}
+
+// receive hands any answer on its way to its agent.
+func (m *fleetModel) receive(t *rapid.T) {
+	if len(m.inbox) == 0 {
+		t.Skip()
+	}
+	a := rapid.SampledFrom(m.inbox).Draw(t, "answer")
+	agent := m.agents[a.Worker]
+	if a.Version <= agent.version {
+		return
+	}
+	agent.version = a.Version
+	for _, task := range a.Changed {
+		m.carryOut(agent, task)
+	}
+}
+
+func (m *fleetModel) carryOut(a *fakeAgent, task Task) {
+	l := lease{TaskRef: task.TaskRef, epoch: task.Epoch}
+	if m.lapsed[task.Epoch] {
+		return
+	}
+	switch {
+	case task.Phase == PhasePrepare:
+		a.held[l] = MemberPrepared
+	case task.Phase == PhaseRun && a.held[l] == MemberPrepared:
+		a.held[l] = MemberRunning
+		m.ran[l.Job][l.epoch] = true
+	case task.Phase == PhaseStop:
+		delete(a.held, l)
+		m.outbox = append(m.outbox, MemberReport{Job: l.Job, Epoch: l.epoch, Member: l.Member, State: MemberStopped})
+	}
+}
+
+// tell makes every agent report what it holds.
+func (m *fleetModel) tell(*rapid.T) {
+	for _, name := range sortedKeys(m.agents) {
+		for l, s := range m.agents[name].held {
+			m.outbox = append(m.outbox, MemberReport{Job: l.Job, Epoch: l.epoch, Member: l.Member, State: s})
+		}
+	}
+	m.outbox = sortReports(m.outbox)
+}
+
+// deliver brings some reports to the leader; any of them may come again.
+func (m *fleetModel) deliver(t *rapid.T) {
+	if len(m.outbox) == 0 {
+		t.Skip()
+	}
+	some := rapid.SliceOfN(rapid.SampledFrom(m.outbox), 1, 6).Draw(t, "reports")
+	m.rig.must(Command{Report: &Report{Members: some}})
+}
+
+func (m *fleetModel) check(t *rapid.T) {
+	running := map[string]map[uint64]bool{"j0": {}, "j1": {}}
+	for _, a := range m.agents {
+		for l, s := range a.held {
+			if s != MemberRunning {
+				continue
+			}
+			running[l.Job][l.epoch] = true
+			require.True(t, m.started[l.epoch], "a member runs without the gang's start")
+		}
+	}
+	for id, epochs := range running {
+		require.LessOrEqual(t, len(epochs), 1, "job %s runs under two epochs at once", id)
+	}
+	require.LessOrEqual(t, len(m.ran["j1"]), 1, "a job that isn't idempotent ran twice")
+	if s := m.rig.job("j1"); s.State == model.JobDone {
+		require.True(t, s.Begun != 0, "done without a start")
+	}
+}
+
+func TestGangsRunWholeAndOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newFleetModel(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"": m.check, "place": m.place, "start": m.start, "stop": m.stop, "end": m.end,
+			"poll": m.poll, "poll again": m.poll, "receive": m.receive, "receive again": m.receive,
+			"tell": m.tell, "deliver": m.deliver, "deliver again": m.deliver,
+			"restart": func(t *rapid.T) { m.rig.s = restored(t, m.rig.s) },
+		})
+	})
+}
+
+// sortReports returns each different report once, in an order that doesn't
+// depend on that of a map.
+func sortReports(rs []MemberReport) []MemberReport {
+	byText := map[string]MemberReport{}
+	for _, r := range rs {
+		byText[fmt.Sprint(r)] = r
+	}
+	var out []MemberReport
+	for _, key := range sortedKeys(byText) {
+		out = append(out, byText[key])
+	}
+	return out
+}
--- a/internal/state/job_test.go
+++ b/internal/state/job_test.go
@@ -24,6 +24,20 @@
 	require.Equal(t, model.JobRunning, r.job("j").State)
 }
 
+func TestNoMemberRunsBeforeTheStart(t *testing.T) {
+	r := ready(t)
+	r.carry(submit("j", "linen", 2, false))
+	epoch := r.place("j", 2).Job.Epoch
+	for _, s := range []MemberState{MemberRunning, MemberCheckpointed, MemberDone} {
+		out := r.report("j", epoch, 2, s)
+		require.Len(t, out.Refused, 2)
+		require.ErrorIs(t, out.Refused[0].Err, ErrBadState)
+	}
+	out := r.report("j", epoch, 3, MemberPrepared)
+	require.Len(t, out.Refused, 1)
+	require.Equal(t, 2, out.Refused[0].At, "there is no third member")
+}
+
 func TestFailedMemberKeepsGangFromStarting(t *testing.T) {
 	r := ready(t)
 	r.carry(submit("j", "linen", 2, false))
@@ -94,6 +108,8 @@
 	done := Command{End: &EndJob{ID: "j", Epoch: epoch, State: model.JobDone}}
 	r.report("j", epoch, 1, MemberDone)
 	require.ErrorIs(t, r.apply(done).Err, ErrBadState)
+	lapsed := Command{End: &EndJob{ID: "j", Epoch: epoch, State: model.JobDone, Lapsed: true}}
+	require.ErrorIs(t, r.apply(lapsed).Err, ErrBadState, "a lost member isn't done")
 	r.report("j", epoch, 2, MemberDone)
 	r.report("j", epoch, 2, MemberRunning)
 	require.NoError(t, r.apply(done).Err, "a late report doesn't take a member back")
@@ -126,8 +142,12 @@
 	members := []model.Member{{Index: 0, Worker: "w00"}, {Index: 1, Worker: "w01"}}
 	out := r.apply(Command{Place: &PlaceJob{ID: "j", Members: members, Seen: seen}})
 	require.ErrorIs(t, out.Err, ErrSuperseded)
+	seen = r.s.View().Fleet()
 	require.NoError(t, r.place("j", 2).Err)
 	require.ErrorIs(t, r.place("j", 2).Err, ErrBadState)
+	r.carry(submit("j2", "linen", 1, true))
+	out = r.apply(Command{Place: &PlaceJob{ID: "j2", Members: members[:1], Seen: seen}})
+	require.ErrorIs(t, out.Err, ErrSuperseded, "a placement takes capacity away")
 }
 
 func TestAssignmentsCarryChangesOnly(t *testing.T) {
--- a/internal/state/snap_test.go
+++ b/internal/state/snap_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -43,17 +44,21 @@
 
 func TestSnapshotIsACapture(t *testing.T) {
 	r := busy(t)
+	r.place("j3", 1)
 	before := r.snapshot()
 	write, err := r.s.Snapshot()
 	require.NoError(t, err)
 	view := r.s.View()
 	r.carry(setTeam("later", 1))
-	r.running("later", 3, true)
+	r.running("a", 3, true)
+	r.report("j2", r.job("j2").Epoch, 1, MemberPrepared)
 	var buf bytes.Buffer
 	require.NoError(t, write(&buf))
 	require.Equal(t, before, buf.Bytes())
-	_, ok := view.Job("later")
+	_, ok := view.Job("a")
 	require.False(t, ok)
+	w, _ := view.Worker("w00")
+	require.Equal(t, []TaskRef{{Job: "j1"}, {Job: "j2"}, {Job: "j3"}}, w.Tasks)
 }
 
 func TestDamagedSnapshotIsRefused(t *testing.T) {
@@ -69,6 +74,8 @@
 		bad[at] ^= 0x04
 		require.Error(t, New().Restore(bytes.NewReader(bad)), at)
 	}
+	miscounted := regexp.MustCompile(`"records":\d+`).ReplaceAll(whole, []byte(`"records":7`))
+	require.ErrorIs(t, r.s.Restore(bytes.NewReader(miscounted)), ErrCorrupt)
 	lines := bytes.SplitAfter(whole, []byte("\n"))
 	missing := bytes.Join(append(lines[:5:5], lines[6:]...), nil)
 	require.ErrorIs(t, r.s.Restore(bytes.NewReader(missing)), ErrCorrupt)
