--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -284,3 +284,19 @@
 	}
 	return sum
 }
+
+// Most returns how many members of the shape the best single scope has room
+// for at this instant, at most as many as the shape has.
+func (f *Fleet) Most(s model.Shape) int {
+	rooms := make(map[string]int)
+	most := 0
+	for _, n := range f.nodes {
+		if !n.indexed || (s.Kind != "" && s.Kind != n.w.Kind) {
+			continue
+		}
+		key := ScopeOf(s.Near, n.w)
+		rooms[key] += NeedOf(s).Into(n.free[Soft.index()], s.Members)
+		most = max(most, rooms[key])
+	}
+	return min(most, s.Members)
+}
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -186,7 +186,7 @@
 		}
 	}
 	for _, u := range us {
-		if u.bound() && !held[u] && !s.sparing(u, j) {
+		if u.bound() && !u.idle() && !held[u] {
 			held[u] = true
 			s.displace(u, j, now)
 			break
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -53,13 +54,15 @@
 		}
 		h.Units = append(h.Units, Bound{
 			Shape: u.shape,
-			Cells: slices.Clone(u.cells),
+			Cells: slices.SortedFunc(slices.Values(u.cells), byWorker),
 			Jobs:  slices.Sorted(maps.Keys(u.jobs)),
 		})
 	}
 	return h
 }
 
+func byWorker(a, b place.Cell) int { return cmp.Compare(a.Worker, b.Worker) }
+
 // Whole says how many gangs of a shape fit into what is free.
 type Whole struct {
 	Shape string `json:"shape"`
@@ -113,3 +116,5 @@
 	}
 	return n
 }
+
+func (s *Sched) sortedWorkers() []string { return slices.Sorted(maps.Keys(s.workers)) }
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -137,6 +137,93 @@
 	}
 }
 
+// plan checks an operation, which must change nothing. One that isn't refused
+// must leave every guarantee with its witness when it is committed.
+func (m *machine) plan(t *rapid.T) {
+	w := m.anyWorker(t)
+	team := holding(fmt.Sprintf("t%d", rapid.IntRange(0, 3).Draw(t, "team")), rapid.IntRange(0, 3).Draw(t, "count"), drawShape(t))
+	op := rapid.SampledFrom([]model.Op{
+		{Kind: model.OpSetTeam, Team: &team},
+		{Kind: model.OpDropTeam, Name: team.Name},
+		{Kind: model.OpCordon, Scope: model.NearWorker, Name: w.Name},
+		{Kind: model.OpDrain, Scope: model.NearRack, Name: w.Rack},
+	}).Draw(t, "op")
+	before, free := m.s.Guarantees(), m.s.Fragmentation()
+	report := m.s.Check([]model.Op{op}, m.now)
+	require.Equal(t, before, m.s.Guarantees(), "a check has changed the guarantees")
+	require.Equal(t, free, m.s.Fragmentation(), "a check has changed what is free")
+	if len(report.Refusals) > 0 {
+		return
+	}
+	short := m.short()
+	m.apply(op)
+	require.LessOrEqual(t, m.short(), short, "an accepted %s has left a guarantee short", op.Kind)
+}
+
+func (m *machine) apply(op model.Op) {
+	switch op.Kind {
+	case model.OpSetTeam:
+		m.setTeam(*op.Team)
+	case model.OpDropTeam:
+		delete(m.teams, op.Name)
+		m.s.DropTeam(op.Name, m.now)
+	case model.OpCordon:
+		m.setWorker(m.workers[op.Name].WithState(model.WorkerCordoned))
+	case model.OpDrain:
+		for _, name := range slices.Sorted(maps.Keys(m.workers)) {
+			if m.workers[name].Rack == op.Name {
+				m.setWorker(m.workers[name].WithState(model.WorkerDraining))
+			}
+		}
+	}
+}
+
+// claimAll has every team claim all of its guarantees at the same instant.
+// Once the stops have ended, each claim runs, or other jobs of its own team use
+// the guarantee.
+func (m *machine) claimAll(t *rapid.T) {
+	var ids []string
+	for _, h := range m.s.Guarantees() {
+		for k, b := range h.Units {
+			if len(b.Cells) == 0 || len(b.Jobs) > 0 {
+				continue
+			}
+			j := gang(fmt.Sprintf("claim-%d-%s-%d-%d", m.seq, h.Team, h.Guarantee, k), h.Team, b.Shape, m.now)
+			j.Urgency = model.Urgent
+			ids = append(ids, j.ID)
+			m.setJob(j)
+		}
+	}
+	m.seq++
+	for range 4 {
+		for _, d := range m.s.Decide(m.now) {
+			m.commit(d)
+		}
+		m.check()
+		for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
+			if m.jobs[id].State == model.JobStopping {
+				m.requeue(id)
+			}
+		}
+	}
+	for _, id := range ids {
+		if j := m.jobs[id]; !holds(j.State) {
+			require.False(t, m.idleUnit(j), "%s wasn't reclaimed: %+v", id, m.s.Explain(id, m.now))
+		}
+	}
+}
+
+func (m *machine) idleUnit(j model.Job) bool {
+	for _, h := range m.s.Guarantees() {
+		for _, b := range h.Units {
+			if h.Team == j.Team && b.Shape == j.Shape && len(b.Cells) > 0 && len(b.Jobs) == 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (m *machine) newLeader(t *rapid.T) {
 	before := m.short()
 	s := m.leader()
@@ -167,6 +254,8 @@
 			"decide":  m.decideOrForget,
 			"decide2": m.decideOrForget,
 			"leader":  m.newLeader,
+			"plan":    m.plan,
+			"claim":   m.claimAll,
 			"":        func(*rapid.T) { m.check() },
 		})
 	})
--- a/internal/sched/witness.go
+++ b/internal/sched/witness.go
@@ -105,7 +105,7 @@
 // repair binds the units that are short. Where there is no room as things
 // stand, reservations give way, then idle units are bound anew all together.
 func (s *Sched) repair() {
-	if len(s.short) == 0 {
+	if len(s.short) == 0 || s.rebuilding {
 		return
 	}
 	for _, u := range sortedUnits(s.short) {
