--- a/internal/sched/adopt.go
+++ b/internal/sched/adopt.go
@@ -84,6 +84,7 @@
 func (s *Sched) around(u *unit, j *job) ([]place.Cell, bool) {
 	var cells []place.Cell
 	left := u.shape.Members
+	scopes := make(map[string]bool)
 	for _, c := range j.cells {
 		k := 1
 		for k <= left && !j.need.Times(c.Count).Fits(u.need.Times(k)) {
@@ -92,12 +93,17 @@
 		if k > left || !u.need.Times(k).Fits(s.fleet.Free(c.Worker, place.Hard)) {
 			return nil, false
 		}
-		if w, ok := s.fleet.Worker(c.Worker); !ok || w.State != model.WorkerReady {
+		w, ok := s.fleet.Worker(c.Worker)
+		if !ok || w.State != model.WorkerReady {
 			return nil, false
 		}
+		scopes[place.ScopeOf(u.shape.Near, w)] = true
 		left -= k
 		cells = append(cells, place.Cell{Worker: c.Worker, Count: k})
 	}
+	if len(scopes) > 1 {
+		return nil, false
+	}
 	if left == 0 {
 		return cells, true
 	}
