--- a/internal/admit/learn.go
+++ b/internal/admit/learn.go
@@ -56,21 +56,34 @@
 	stats map[sizeKey]*sizeStat
 }
 
-func keyOf(r Request) sizeKey {
-	return sizeKey{service: r.Service, team: r.Team, declared: r.Declared, bucket: bits.Len64(uint64(r.SizeMs))}
+// sizeKeys returns the kinds that a request belongs to, from the narrowest to
+// the widest. A wide kind is learned sooner than a narrow one.
+func sizeKeys(r Request) [3]sizeKey {
+	narrow := sizeKey{service: r.Service, team: r.Team, declared: r.Declared, bucket: bits.Len64(uint64(r.SizeMs))}
+	service := narrow
+	service.team = ""
+	size := service
+	size.declared = ""
+	if r.SizeMs == 0 {
+		size = service // without a size there is nothing left to tell requests apart
+	}
+	return [3]sizeKey{narrow, service, size}
 }
 
 // judge returns the class of a request, its expected run time and the run time
 // to plan with, both in seconds.
 func (s *sizes) judge(r Request, shortLimit time.Duration) (c Class, mean, planned float64) {
-	st := s.stats[keyOf(r)]
-	if st == nil || st.n < minSamples {
-		return declared(r, shortLimit)
-	}
-	if st.pLong > longShare {
-		return Long, st.mean, st.planned()
+	for _, key := range sizeKeys(r) {
+		st := s.stats[key]
+		if st == nil || st.n < minSamples {
+			continue
+		}
+		if st.pLong > longShare {
+			return Long, st.mean, st.planned()
+		}
+		return Short, st.mean, st.planned()
 	}
-	return Short, st.mean, st.planned()
+	return declared(r, shortLimit)
 }
 
 func declared(r Request, shortLimit time.Duration) (c Class, mean, planned float64) {
@@ -91,11 +104,16 @@
 }
 
 func (s *sizes) learn(r Request, took, shortLimit time.Duration) {
-	key := keyOf(r)
-	st := s.stats[key]
-	if st == nil {
-		st = &sizeStat{}
-		s.stats[key] = st
+	keys := sizeKeys(r)
+	for i, key := range keys {
+		if i > 0 && key == keys[i-1] {
+			continue
+		}
+		st := s.stats[key]
+		if st == nil {
+			st = &sizeStat{}
+			s.stats[key] = st
+		}
+		st.add(took.Seconds(), took > shortLimit)
 	}
-	st.add(took.Seconds(), took > shortLimit)
 }
--- /dev/null
+++ b/internal/load/crest.go
@@ -0,0 +1,95 @@
+package load
+
+import (
+	"math"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+// The phases of the crest.
+const (
+	CrestStart  = 30 * time.Second
+	CrestEnd    = 90 * time.Second
+	CrestFinish = 120 * time.Second
+
+	calmLoad    = 0.6
+	crestLoad   = 3.0
+	quietLoad   = 0.05 // of the team within its guarantee, at all times
+	urgentShare = 0.15
+
+	bookMedian   = 0.050
+	bookSigma    = 0.6
+	patternShare = 0.02 // renders of patterns among the bookings
+	patternSize  = 1.0
+	patternSigma = 0.5
+
+	urgentLimit  = time.Second
+	bookLimit    = 2 * time.Second
+	patternLimit = 15 * time.Second
+)
+
+// QuietTeam stays within its guarantee while the others bring the crest.
+const QuietTeam = "pressing"
+
+// Crest returns a crest of three times the capacity for a minute, with a calm
+// time before and after it.
+func Crest(seed uint64) Scenario {
+	s := Scenario{
+		Name: "crest", Seed: seed, Entries: entries, Servers: servers, Spread: spread, Drift: drift,
+		Teams: []model.Team{
+			{Name: "krakow", Slots: 24, Weight: 3},
+			{Name: "tarnow", Slots: 16, Weight: 2},
+			{Name: "kielce", Slots: 8, Weight: 1},
+			{Name: QuietTeam, Slots: 16, Weight: 1},
+		},
+		Service: model.Service{Name: "rota", ShortMs: 400, LimitMs: 15_000, Reserve: 1},
+	}
+	rng := rand.New(rand.NewPCG(seed, 1))
+	crowd, quiet := s.Teams[:3], s.Teams[3:]
+	s.addPart(rng, 0, CrestStart, calmLoad, crowd)
+	s.addPart(rng, CrestStart, CrestEnd, crestLoad, crowd)
+	s.addPart(rng, CrestEnd, CrestFinish, calmLoad, crowd)
+	s.addPart(rng, 0, CrestFinish, quietLoad, quiet)
+	return s
+}
+
+func crestMean() float64 {
+	book := bookMedian * math.Exp(bookSigma*bookSigma/2)
+	pattern := patternSize * math.Exp(patternSigma*patternSigma/2)
+	return (1-patternShare)*book + patternShare*pattern
+}
+
+func (s *Scenario) addPart(rng *rand.Rand, from, to time.Duration, load float64, teams []model.Team) {
+	rate := load * s.Capacity() / crestMean()
+	for at := from.Seconds(); ; {
+		at += rng.ExpFloat64() / rate
+		if at > to.Seconds() {
+			return
+		}
+		j := crestJob(rng, teams, seconds(at))
+		j.ID = strconv.Itoa(len(s.Jobs))
+		s.Jobs = append(s.Jobs, j)
+	}
+}
+
+func crestJob(rng *rand.Rand, teams []model.Team, at time.Duration) Job {
+	j := Job{Entry: rng.IntN(entries), Team: teams[pickTeam(rng, teams)].Name, Urgency: model.Normal, Arrive: at}
+	j.Long = rng.Float64() < patternShare
+	switch {
+	case j.Long:
+		j.Size = logNormal(rng, patternSize, patternSigma)
+		j.Deadline = at + patternLimit
+	case rng.Float64() < urgentShare:
+		j.Urgency = model.Urgent
+		j.Size = logNormal(rng, bookMedian, bookSigma)
+		j.Deadline = at + urgentLimit
+	default:
+		j.Size = logNormal(rng, bookMedian, bookSigma)
+		j.Deadline = at + bookLimit
+	}
+	declare(rng, &j)
+	return j
+}
--- /dev/null
+++ b/internal/load/world.go
@@ -0,0 +1,121 @@
+package load
+
+import (
+	"container/heap"
+	"time"
+)
+
+// NetDelay is the delay of a message one way between an entry and an agent.
+const NetDelay = 1500 * time.Microsecond
+
+// event is a function to be called at a time.
+type event struct {
+	at  time.Duration
+	seq int // keeps events of one time in order
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if e[i].at != e[j].at {
+		return e[i].at < e[j].at
+	}
+	return e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// World is the event loop with the backend servers and what came of the jobs.
+type World struct {
+	Scenario Scenario
+	Servers  []*Server
+	Results  []Result
+
+	now    time.Duration
+	events events
+	seq    int
+	open   int // jobs without a result
+	policy Policy
+}
+
+// epoch is the time at which every run begins.
+var epoch = time.Unix(1_700_000_000, 0)
+
+// Now returns the time of the loop.
+func (w *World) Now() time.Time { return epoch.Add(w.now) }
+
+// After calls do once d has passed.
+func (w *World) After(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.events, event{at: w.now + d, seq: w.seq, do: do})
+}
+
+// Send calls do at the other end of a connection.
+func (w *World) Send(do func()) { w.After(NetDelay, do) }
+
+// Every calls do at each interval while jobs are open.
+func (w *World) Every(d time.Duration, do func()) {
+	w.After(d, func() {
+		if w.open == 0 {
+			return
+		}
+		do()
+		w.Every(d, do)
+	})
+}
+
+// End records what came of a job.
+func (w *World) End(j *Job, answered bool) {
+	w.open--
+	w.Results = append(w.Results, Result{Job: j, Answered: answered, At: w.now})
+}
+
+// Open returns the number of jobs without a result.
+func (w *World) Open() int { return w.open }
+
+// Run drives a policy with the jobs of a scenario.
+func Run(s Scenario, start func(*World) Policy) *World {
+	w := &World{Scenario: s, Servers: newServers(s), open: len(s.Jobs)}
+	p := start(w)
+	w.policy = p
+	for i := range s.Jobs {
+		j := &s.Jobs[i]
+		w.After(j.Arrive, func() { p.Arrive(j) })
+	}
+	for w.open > 0 && len(w.events) > 0 {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.do()
+	}
+	return w
+}
+
+// Policy decides what becomes of each job.
+type Policy interface {
+	Arrive(j *Job)
+}
+
+// Result is what came of one job.
+type Result struct {
+	Job      *Job
+	Answered bool // false: refused, has not run
+	At       time.Duration
+}
+
+// Took returns the time from arrival to answer.
+func (r Result) Took() time.Duration { return r.At - r.Job.Arrive }
+
+// InTime reports whether the answer came before the deadline.
+func (r Result) InTime() bool { return r.Answered && r.At <= r.Job.Deadline }
+
+// Mean returns the mean time to the answer.
+func (w *World) Mean() time.Duration {
+	return Mean(Times(w.Results, func(Result) bool { return true }))
+}
