Drive the log's core by property tests

A seeded network, disks and clocks in the test; loss, reorder, duplication, cuts, freezes, crashes between write and sync.

--- a/internal/replog/propose.go
+++ b/internal/replog/propose.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/knapweedlug/knapweedlug/internal/wire"
 )
@@ -17,13 +16,10 @@
 	err    error
 }
 
-// readWaiter waits until the state machine is known to hold all that was
-// committed when the read began.
+// readWaiter waits for a read to be confirmed.
 type readWaiter struct {
-	index uint64 // 0 until the leader is ready
-	round uint64 // confirms leadership if the lease has run out
-	valid bool   // leadership was confirmed after the read began
-	done  chan outcome
+	read *readRequest
+	done chan outcome
 }
 
 // Propose appends a command and waits until it has been applied here. It
@@ -129,7 +125,7 @@
 	}
 	select {
 	case o := <-r.done:
-		return r.index, o.err
+		return r.read.index, o.err
 	case <-ctx.Done():
 		return 0, ctx.Err()
 	}
@@ -145,7 +141,7 @@
 		return &NotLeaderError{Leader: n.core.leaderName()}
 	}
 	n.core.advance(n.opt.Clock.Now())
-	r.round = n.core.leading.round + 1
+	r.read = n.core.newRead()
 	n.reads = append(n.reads, r)
 	n.settleReads()
 	if n.readsWantRound() {
@@ -156,7 +152,7 @@
 
 func (n *Node) readsWantRound() bool {
 	for _, r := range n.reads {
-		if !r.valid && r.round > n.core.leading.round {
+		if !r.read.valid && r.read.round > n.core.leading.round {
 			return n.core.role == Leader
 		}
 	}
@@ -168,27 +164,16 @@
 	now := n.opt.Clock.Now()
 	kept := n.reads[:0]
 	for _, r := range n.reads {
-		if !n.settleRead(r, now) {
+		if !n.core.readReady(r.read, now) {
 			kept = append(kept, r)
+			continue
 		}
+		r.done <- outcome{}
 	}
 	clear(n.reads[len(kept):])
 	n.reads = kept
 }
 
-func (n *Node) settleRead(r *readWaiter, now time.Time) bool {
-	c := n.core
-	if r.index == 0 && c.ready() {
-		r.index = c.commit
-	}
-	r.valid = r.valid || c.hasLease(now) || c.leading.quorumRound >= r.round
-	if r.index == 0 || !r.valid || c.applied < r.index {
-		return false
-	}
-	r.done <- outcome{}
-	return true
-}
-
 // View runs f, which reads the state machine, between a Read and a check that
 // the lease still holds. A leader that was cut off or frozen meanwhile
 // returns an ErrNotLeader, and what f found must not be used.
--- /dev/null
+++ b/internal/replog/sim_test.go
@@ -0,0 +1,475 @@
+package replog
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/knapweedlug/knapweedlug/internal/store"
+	"github.com/knapweedlug/knapweedlug/internal/store/memdisk"
+	"github.com/knapweedlug/knapweedlug/internal/wire"
+)
+
+const (
+	simTick  = 10 * time.Millisecond
+	simDelay = 1500 * time.Microsecond
+)
+
+// fataler is the part of rapid.T and testing.T that a simulation needs.
+type fataler interface {
+	Fatalf(format string, args ...any)
+}
+
+// sim runs replicas with a network, disks and clocks that a seed decides on.
+type sim struct {
+	t     fataler
+	rand  *rand.Rand
+	now   time.Duration
+	hosts []*simHost
+	queue []simMail
+	cut   map[[2]string]bool
+	loss  float64
+	dup   float64
+	delay time.Duration // random extra delay
+
+	leaders map[uint64]string            // by term
+	entries map[[2]uint64]*wire.LogEntry // by index and term
+	prev    map[[2]uint64]uint64         // term of the entry before
+	chosen  map[uint64]*wire.LogEntry    // committed, by index
+	states  map[uint64]simState          // state after each index
+	clients []*simOp
+	made    map[string]int
+}
+
+type simMail struct {
+	at   time.Duration
+	seq  int
+	from string
+	m    *wire.LogMessage
+}
+
+// simState is the state machine: a register, and a digest of its history.
+type simState struct {
+	Index  uint64
+	Value  string
+	Digest string
+}
+
+type simHost struct {
+	name   string
+	disk   *memdisk.Disk
+	st     *store.Store
+	core   *core
+	rate   float64
+	frozen time.Duration // until then
+	state  simState
+	busy   *work // what the disk is writing
+	busyAt time.Duration
+	saving bool // the frame is on disk, the protocol doesn't know it yet
+	reads  []*simOp
+}
+
+// simOp is an operation of a client.
+type simOp struct {
+	write  bool
+	value  string
+	index  uint64
+	term   uint64
+	read   *readRequest
+	host   *simHost
+	call   time.Duration
+	done   time.Duration
+	ok     bool
+	failed bool // it surely did not happen
+}
+
+func newSim(t fataler, seed uint64, n int) *sim {
+	s := &sim{
+		t: t, rand: rand.New(rand.NewPCG(seed, 1)), cut: make(map[[2]string]bool),
+		leaders: make(map[uint64]string), entries: make(map[[2]uint64]*wire.LogEntry),
+		prev: make(map[[2]uint64]uint64), chosen: make(map[uint64]*wire.LogEntry),
+		states: make(map[uint64]simState), made: make(map[string]int),
+	}
+	for i := range n {
+		h := &simHost{name: string(rune('a' + i)), disk: memdisk.New()}
+		s.hosts = append(s.hosts, h)
+	}
+	for _, h := range s.hosts {
+		s.boot(h)
+	}
+	return s
+}
+
+func (s *sim) options(name string) Options {
+	opt := Options{Name: name, Cluster: "sim", TailBytes: 1000, ChunkBytes: 64, Seed: uint64(name[0])}
+	for _, h := range s.hosts {
+		opt.Voters = append(opt.Voters, Peer{Name: h.name})
+	}
+	return opt.WithDefaults()
+}
+
+// local is a host's clock, which runs a little fast or slow.
+func (s *sim) local(h *simHost) time.Time {
+	return time.Unix(0, int64(float64(s.now)*h.rate)).Add(time.Hour)
+}
+
+func (s *sim) boot(h *simHost) {
+	s.made[h.name]++
+	h.rate = 1 + DefaultClockDrift*(2*s.rand.Float64()-1)
+	st, err := store.Open(h.disk, store.Options{
+		Cluster: "sim", Name: h.name, Incarnation: fmt.Sprintf("%s-%d", h.name, s.made[h.name]), SegmentBytes: 2000,
+	})
+	if err != nil {
+		s.t.Fatalf("%s doesn't open its folder: %v", h.name, err)
+	}
+	core, err := newCore(s.options(h.name), st.Identity(), st.Contents(), s.local(h))
+	if err != nil {
+		s.t.Fatalf("%s doesn't start: %v", h.name, err)
+	}
+	h.st, h.core, h.busy, h.saving, h.frozen, h.state = st, core, nil, false, 0, simState{}
+	if st.Snapshot() != nil {
+		s.restore(h)
+	}
+}
+
+func (s *sim) up(h *simHost) bool { return h.core != nil && s.now >= h.frozen }
+
+// crash stops a host. Unsynced writes are lost, or torn.
+func (s *sim) crash(h *simHost) {
+	if h.core == nil {
+		return
+	}
+	if h.busy != nil && !h.saving && h.busy.frame != nil {
+		h.disk.FailSync(1)
+		if err := h.st.Save(h.busy.frame); !errors.Is(err, memdisk.ErrCrashed) {
+			s.t.Fatalf("save at a crash: %v", err)
+		}
+	}
+	h.disk.Crash(s.rand)
+	h.core, h.st = nil, nil
+	for _, op := range h.reads {
+		op.failed = true
+	}
+	h.reads = nil
+}
+
+func (s *sim) host(name string) *simHost {
+	for _, h := range s.hosts {
+		if h.name == name {
+			return h
+		}
+	}
+	return nil
+}
+
+// run lets time pass.
+func (s *sim) run(d time.Duration) {
+	for end := s.now + d; s.now < end; {
+		next := s.now + simTick - s.now%simTick
+		for s.deliver(next) {
+		}
+		s.now = next
+		for _, h := range s.hosts {
+			if s.up(h) {
+				h.core.tick(s.local(h))
+				s.settle(h)
+			}
+		}
+	}
+	s.checkLogs()
+}
+
+// deliver hands over the next message or completes the next write before a
+// time, and returns false if there is none.
+func (s *sim) deliver(before time.Duration) bool {
+	var disk *simHost
+	for _, h := range s.hosts {
+		if h.busy != nil && s.up(h) && h.busyAt <= before && (disk == nil || h.busyAt < disk.busyAt) {
+			disk = h
+		}
+	}
+	mail := len(s.queue) > 0 && s.queue[0].at <= before
+	if disk != nil && (!mail || disk.busyAt <= s.queue[0].at) {
+		s.now = max(s.now, disk.busyAt)
+		s.finishWork(disk)
+		return true
+	}
+	if !mail {
+		return false
+	}
+	next := s.queue[0]
+	s.queue = s.queue[1:]
+	s.now = max(s.now, next.at)
+	to := s.host(next.m.GetTo())
+	switch {
+	case to == nil || to.core == nil || s.cut[[2]string{next.from, to.name}]:
+	case !s.up(to):
+		next.at = to.frozen
+		s.post(next)
+	default:
+		to.core.step(s.local(to), next.m)
+		s.settle(to)
+	}
+	return true
+}
+
+func (s *sim) post(mail simMail) {
+	i := sort.Search(len(s.queue), func(i int) bool { return s.queue[i].at > mail.at })
+	s.queue = append(s.queue, simMail{})
+	copy(s.queue[i+1:], s.queue[i:])
+	s.queue[i] = mail
+}
+
+func (s *sim) send(h *simHost, messages []*wire.LogMessage) {
+	for _, m := range messages {
+		copies := 1
+		if s.rand.Float64() < s.loss {
+			copies = 0
+		} else if s.rand.Float64() < s.dup {
+			copies = 2
+		}
+		for range copies {
+			at := s.now + simDelay
+			if s.delay > 0 {
+				at += time.Duration(s.rand.Int64N(int64(s.delay)))
+			}
+			s.post(simMail{at: at, from: h.name, m: proto.CloneOf(m)})
+		}
+	}
+}
+
+// settle does what a host's protocol wants done.
+func (s *sim) settle(h *simHost) {
+	c := h.core
+	c.replicate()
+	for _, r := range c.out.chunks {
+		chunk, err := h.st.ReadChunk(r.id, r.offset, c.opt.ChunkBytes)
+		if err != nil {
+			chunk, err = h.st.ReadChunk(h.st.Snapshot().GetId(), 0, c.opt.ChunkBytes)
+		}
+		if err != nil {
+			s.t.Fatalf("%s reads a chunk: %v", h.name, err)
+		}
+		c.chunkRead(r.to, chunk)
+	}
+	c.out.chunks = nil
+	if c.out.refuse != "" {
+		if err := h.st.Refuse(c.out.refuse); err != nil {
+			s.t.Fatalf("%s refuses its folder: %v", h.name, err)
+		}
+		c.out.refuse = ""
+	}
+	s.send(h, c.out.messages)
+	c.out.messages = nil
+	if h.busy == nil {
+		if w := c.takeWork(); !w.empty() {
+			h.busy, h.busyAt = &w, s.now+time.Duration(s.rand.Int64N(int64(5*time.Millisecond)))
+		}
+	}
+	s.apply(h)
+	s.finishReads(h)
+	s.checkHost(h)
+}
+
+// finishWork takes one of two steps: the disk has the frame, then the
+// protocol knows it. A crash may come between.
+func (s *sim) finishWork(h *simHost) {
+	w := *h.busy
+	if !h.saving {
+		if w.frame != nil {
+			if err := h.st.Save(w.frame); err != nil {
+				s.t.Fatalf("%s saves: %v", h.name, err)
+			}
+		}
+		h.saving = true
+		h.busyAt = s.now + time.Duration(s.rand.Int64N(int64(time.Millisecond)))
+		return
+	}
+	h.busy, h.saving = nil, false
+	c := h.core
+	c.saved(s.local(h), w)
+	var remote []*wire.LogMessage
+	for _, m := range w.messages {
+		if m.GetToIncarnation() == c.self {
+			c.step(s.local(h), m)
+			continue
+		}
+		remote = append(remote, m)
+	}
+	s.send(h, remote)
+	for _, m := range w.received {
+		s.receive(h, m)
+	}
+	s.settle(h)
+}
+
+func (s *sim) receive(h *simHost, m *wire.LogMessage) {
+	snap := m.GetChunk().GetSnapshot()
+	next, done, err := h.st.Receive(m.GetChunk())
+	if err != nil {
+		s.t.Fatalf("%s receives a chunk: %v", h.name, err)
+	}
+	if done && h.core.beginInstall(snap) {
+		if err := h.st.Reset(); err != nil {
+			s.t.Fatalf("%s resets its log: %v", h.name, err)
+		}
+		h.core.installed(s.local(h), snap)
+	}
+	h.core.chunkWritten(m, next)
+}
+
+func (s *sim) restore(h *simHost) {
+	err := h.st.ReadSnapshot(func(meta *wire.LogSnapshot, r io.Reader) error {
+		if err := json.NewDecoder(r).Decode(&h.state); err != nil {
+			return err
+		}
+		h.core.restored(meta)
+		if h.state.Index != meta.GetIndex() || h.state != s.states[meta.GetIndex()] {
+			s.t.Fatalf("%s restored %+v from snapshot %d, the state was %+v", h.name, h.state, meta.GetIndex(), s.states[meta.GetIndex()])
+		}
+		return nil
+	})
+	if err != nil {
+		s.t.Fatalf("%s restores: %v", h.name, err)
+	}
+}
+
+func (s *sim) apply(h *simHost) {
+	if h.core.restore != nil {
+		s.restore(h)
+	}
+	for _, e := range h.core.takeCommitted(1 << 20) {
+		h.state.Index = e.GetIndex()
+		if e.GetKind() == wire.LogEntryKind_LOG_ENTRY_KIND_COMMAND {
+			h.state.Value = string(e.GetData())
+		}
+		h.state.Digest = fmt.Sprintf("%x", rand.NewPCG(uint64(len(h.state.Digest)), digest(h.state.Digest, e)).Uint64())
+		h.core.applied = e.GetIndex()
+		s.checkApplied(h, e)
+		for _, op := range s.clients {
+			if op.write && op.host == h && op.index == e.GetIndex() && op.term == e.GetTerm() && op.done == 0 {
+				op.done, op.ok = s.now, true
+			}
+		}
+	}
+}
+
+func digest(before string, e *wire.LogEntry) uint64 {
+	sum := uint64(14695981039346656037)
+	for _, b := range fmt.Appendf(nil, "%s/%d/%d/%s", before, e.GetIndex(), e.GetTerm(), e.GetData()) {
+		sum = (sum ^ uint64(b)) * 1099511628211
+	}
+	return sum
+}
+
+// snapshot takes a snapshot as Node does.
+func (s *sim) snapshot(h *simHost) {
+	c := h.core
+	term, ok := c.log.term(c.applied)
+	if !ok || c.applied == 0 || c.transferring() || c.restore != nil {
+		return
+	}
+	at := c.history.at(c.applied)
+	meta := &wire.LogSnapshot{
+		Index: c.applied, Term: term, Members: at.members.wire(), MembersIndex: at.index,
+		Id: fmt.Sprintf("%s-%d-%d", c.self, c.boot, c.applied),
+	}
+	state := h.state
+	err := h.st.WriteSnapshot(meta, func(w io.Writer) error { return json.NewEncoder(w).Encode(state) })
+	if err == nil {
+		err = h.st.Compact(c.compact(meta.GetIndex()))
+	}
+	if err != nil {
+		s.t.Fatalf("%s takes a snapshot: %v", h.name, err)
+	}
+}
+
+// write proposes a value on a host.
+func (s *sim) write(h *simHost, value string) {
+	if !s.up(h) {
+		return
+	}
+	h.core.advance(s.local(h))
+	index, err := h.core.propose([]byte(value))
+	if err != nil {
+		return
+	}
+	s.clients = append(s.clients, &simOp{
+		write: true, value: value, index: index, term: h.core.state.term, host: h, call: s.now,
+	})
+	s.settle(h)
+}
+
+// read begins a read on a host.
+func (s *sim) read(h *simHost) {
+	if !s.up(h) || h.core.role != Leader {
+		return
+	}
+	h.core.advance(s.local(h))
+	op := &simOp{host: h, call: s.now, read: h.core.newRead(), term: h.core.state.term}
+	s.clients = append(s.clients, op)
+	h.reads = append(h.reads, op)
+	if !h.core.hasLease(s.local(h)) {
+		h.core.beginRound()
+	}
+	s.settle(h)
+}
+
+func (s *sim) finishReads(h *simHost) {
+	kept := h.reads[:0]
+	for _, op := range h.reads {
+		switch {
+		case h.core.role != Leader || h.core.state.term != op.term:
+			op.failed = true
+		case h.core.readReady(op.read, s.local(h)):
+			op.done, op.ok, op.value = s.now, true, h.state.Value
+		default:
+			kept = append(kept, op)
+		}
+	}
+	h.reads = kept
+}
+
+// leader returns the host that leads in the highest term, if any.
+func (s *sim) leader() *simHost {
+	var best *simHost
+	for _, h := range s.hosts {
+		if s.up(h) && h.core.role == Leader && (best == nil || h.core.state.term > best.core.state.term) {
+			best = h
+		}
+	}
+	return best
+}
+
+// runUntil lets time pass until a condition holds.
+func (s *sim) runUntil(what string, limit time.Duration, cond func() bool) {
+	for end := s.now + limit; !cond(); {
+		if s.now >= end {
+			s.t.Fatalf("not reached within %v: %s\n%s", limit, what, s.describe())
+		}
+		s.run(simTick)
+	}
+}
+
+func (s *sim) describe() string {
+	out := fmt.Sprintf("at %v", s.now)
+	for _, h := range s.hosts {
+		if h.core == nil {
+			out += "\n" + h.name + " is down"
+			continue
+		}
+		c := h.core
+		out += fmt.Sprintf("\n%s (%s) %s term %d leader %s commit %d applied %d last %d saved %d vouched %v members %v peers",
+			h.name, c.self, c.role, c.state.term, c.leader, c.commit, c.applied, c.log.lastIndex(), c.log.saved, c.hello.vouched, c.members())
+		for _, p := range c.peerStatus() {
+			out += fmt.Sprintf(" %s:%s match %d refused %v", p.Incarnation, p.State, p.Match, p.Refused)
+		}
+	}
+	return out
+}
--- a/internal/store/memdisk/memdisk.go
+++ b/internal/store/memdisk/memdisk.go
@@ -28,6 +28,7 @@
 	locked  bool
 	free    int64 // bytes left, or negative for no bound
 	syncs   int
+	failing int // further syncs until one fails, if positive
 }
 
 type content struct {
@@ -47,6 +48,14 @@
 	d.free = n
 }
 
+// FailSync makes the n-th sync of a file from now on fail, as if the crash
+// came just then.
+func (d *Disk) FailSync(n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.failing = n
+}
+
 // Syncs returns how many files were synced.
 func (d *Disk) Syncs() int {
 	d.mu.Lock()
@@ -61,6 +70,7 @@
 	defer d.mu.Unlock()
 	d.epoch++
 	d.locked = false
+	d.failing = 0
 	d.names = make(map[string]*content)
 	var names []string
 	for name := range d.durable {
@@ -275,6 +285,12 @@
 func (f *file) Sync() error {
 	return f.locked(func() error {
 		f.disk.syncs++
+		if f.disk.failing > 0 {
+			f.disk.failing--
+			if f.disk.failing == 0 {
+				return ErrCrashed
+			}
+		}
 		f.content.synced = slices.Clone(f.content.data)
 		return nil
 	})
