--- /dev/null
+++ b/internal/replog/focus_test.go
@@ -0,0 +1,241 @@
+package replog
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedlug/knapweedlug/internal/store"
+	"github.com/knapweedlug/knapweedlug/internal/wire"
+)
+
+// newTrio returns three hosts of which "a" leads and has committed "old".
+func newTrio(t *testing.T) (s *sim, a, b, c *simHost) {
+	s = newSim(t, 7, 3)
+	a = s.lead("a")
+	s.write(a, "old")
+	s.runUntil("the first write", time.Second, func() bool { return s.clients[0].ok })
+	s.run(3 * DefaultHeartbeat)
+	return s, a, s.host("b"), s.host("c")
+}
+
+func TestAcknowledgesOnlyWhatIsSynced(t *testing.T) {
+	s, a, b, _ := newTrio(t)
+	s.isolate("c")
+	b.stall()
+	s.write(a, "new")
+	s.run(time.Second)
+	require.False(t, s.clients[1].ok, "committed with one copy on disk")
+	s.crash(b)
+	s.isolate("a")
+	delete(s.cut, [2]string{"b", "c"})
+	delete(s.cut, [2]string{"c", "b"})
+	b.resume()
+	s.boot(b)
+	s.runUntil("b and c elect", time.Minute, func() bool { l := s.leader(); return l != nil && l != a })
+	s.settleDown()
+}
+
+func TestLeaderCountsItselfOnlyOnceSynced(t *testing.T) {
+	s, a, _, _ := newTrio(t)
+	s.isolate("c")
+	a.stall()
+	s.write(a, "new")
+	s.run(time.Second)
+	require.False(t, s.clients[1].ok, "committed with one copy on disk")
+}
+
+func TestVoteIsSyncedBeforeItIsSent(t *testing.T) {
+	s, a, b, c := newTrio(t)
+	s.isolate("c")
+	s.crash(a)
+	s.boot(a)
+	b.stall()
+	a.core.electionDeadline = s.local(a).Add(2 * DefaultElection)
+	s.run(4 * DefaultElection)
+	require.NotEqual(t, Leader, a.core.role, "elected by a vote that is on no disk")
+	s.crash(b)
+	s.isolate("a")
+	delete(s.cut, [2]string{"b", "c"})
+	delete(s.cut, [2]string{"c", "b"})
+	b.resume()
+	s.boot(b)
+	s.runUntil("b or c leads", time.Minute, func() bool { return b.core.role == Leader || c.core.role == Leader })
+}
+
+func TestVotesOnceInATerm(t *testing.T) {
+	s, a, b, c := newTrio(t)
+	s.crash(a)
+	s.run(4 * DefaultElection)
+	term := max(b.core.state.term, c.core.state.term) + 5
+	for i, from := range []string{"x", "y"} {
+		b.core.promiseDeadline = b.core.now
+		b.core.step(s.local(b), &wire.LogMessage{
+			Kind: wire.LogKind_LOG_KIND_VOTE, Cluster: "sim", From: from, FromIncarnation: from,
+			To: "b", ToIncarnation: b.core.self, Term: term, Index: 1000, LogTerm: term,
+		})
+		require.Equal(t, "x", b.core.state.vote)
+		require.Len(t, b.core.out.synced, 1, "replies after vote request %d", i)
+	}
+}
+
+func TestFollowerKeepsItsPromiseToTheLeader(t *testing.T) {
+	s, a, _, _ := newTrio(t)
+	term := a.core.state.term
+	s.cutOff("a", "c")
+	s.run(10 * DefaultElection)
+	require.Equal(t, Leader, a.core.role)
+	require.Equal(t, term, a.core.state.term)
+}
+
+func TestPromiseOutlivesARestart(t *testing.T) {
+	s, a, b, c := newTrio(t)
+	s.cutOff("a", "c")
+	s.run(5 * DefaultElection) // c is ready to stand at any time
+	s.isolate("a")
+	delete(s.cut, [2]string{"b", "c"})
+	s.crash(b)
+	s.boot(b)
+	b.core.hello.vouched = true
+	lease := a.core.leading.leaseDeadline
+	c.core.electionDeadline = c.core.now
+	for s.local(a).Before(lease) {
+		require.NotEqual(t, Leader, c.core.role, "elected during a's lease")
+		s.run(simTick)
+	}
+}
+
+func TestReturningReplicaDisturbsNobody(t *testing.T) {
+	s, a, _, _ := newTrio(t)
+	term := a.core.state.term
+	s.isolate("c")
+	s.run(20 * DefaultElection)
+	s.cut = make(map[[2]string]bool)
+	s.run(5 * DefaultElection)
+	require.Equal(t, Leader, a.core.role)
+	require.Equal(t, term, a.core.state.term)
+}
+
+func TestLeaderWithoutMajorityStepsDown(t *testing.T) {
+	s, a, _, _ := newTrio(t)
+	s.isolate("a")
+	s.run(DefaultElection + DefaultHeartbeat)
+	require.NotEqual(t, Leader, a.core.role)
+}
+
+// TestFrozenLeaderAnswersNoRead thaws a former leader which gets a read before
+// it has heard anything.
+func TestFrozenLeaderAnswersNoRead(t *testing.T) {
+	s, a, _, _ := newTrio(t)
+	a.frozen = never
+	s.runUntil("another leader", time.Minute, func() bool { l := s.leader(); return l != nil && l.core.ready() })
+	s.write(s.leader(), "new")
+	s.runUntil("the second write", time.Second, func() bool { return s.clients[1].ok })
+	a.frozen = 0
+	s.read(a)
+	require.False(t, s.clients[2].ok, "answered after its lease")
+	s.settleDown()
+}
+
+func TestLeaseRunsFromTheSendingOfTheHeartbeat(t *testing.T) {
+	s, a, _, _ := newTrio(t)
+	s.delay = 300 * time.Millisecond
+	for range 50 {
+		s.run(simTick)
+		sent := a.core.leading.quorumTime
+		require.Equal(t, sent.Add(a.core.opt.leaseTime()), a.core.leading.leaseDeadline)
+		if len(a.core.leading.rounds) > 0 {
+			require.False(t, sent.After(a.core.leading.rounds[0].sent))
+		}
+	}
+	require.Less(t, a.core.opt.leaseTime(), DefaultElection)
+}
+
+// TestNewLeaderReadsNothingBeforeItsFirstCommit has a new leader which doesn't
+// know yet that the former one has committed a write.
+func TestNewLeaderReadsNothingBeforeItsFirstCommit(t *testing.T) {
+	s, a, b, c := newTrio(t)
+	s.cutOff("a", "c")
+	s.write(a, "new")
+	for !s.clients[1].ok {
+		require.True(t, s.deliver(never))
+	}
+	s.isolate("a") // before b has heard of the commit
+	s.cutOff("a", "b")
+	delete(s.cut, [2]string{"c", "b"})
+	s.watch = func(*simHost) {
+		if b.core.role == Leader {
+			b.stall()
+			c.stall()
+		}
+	}
+	s.runUntil("b leads", time.Minute, func() bool { return b.core.role == Leader })
+	s.read(b)
+	s.run(100 * time.Millisecond)
+	require.False(t, s.clients[2].ok, "answered %q", s.clients[2].value)
+	s.watch = nil
+	b.resume()
+	c.resume()
+	s.settleDown()
+}
+
+// TestCommitsOnlyWithAnEntryOfItsOwnTerm is the case in which an entry of an
+// earlier term stands on a majority and may still be replaced.
+func TestCommitsOnlyWithAnEntryOfItsOwnTerm(t *testing.T) {
+	members := Members{{Name: "a", Incarnation: "a-1", Role: Voter}, {Name: "b", Incarnation: "b-1", Role: Voter}, {Name: "c", Incarnation: "c-1", Role: Voter}}
+	data, err := members.encode()
+	require.NoError(t, err)
+	held := store.Contents{
+		State: &wire.LogState{Term: 3},
+		Entries: []*wire.LogEntry{
+			{Term: 1, Index: 1, Kind: wire.LogEntryKind_LOG_ENTRY_KIND_MEMBERS, Data: data},
+			{Term: 2, Index: 2, Kind: wire.LogEntryKind_LOG_ENTRY_KIND_COMMAND},
+		},
+	}
+	opt := Options{Name: "a", Cluster: "sim", Voters: []Peer{{"a"}}}.WithDefaults()
+	c, err := newCore(opt, store.Identity{Name: "a", Incarnation: "a-1", Boot: 1}, held, time.Now())
+	require.NoError(t, err)
+	c.state = c.state.withTerm(4)
+	c.becomeLeader()
+	reply := &wire.LogMessage{
+		Kind: wire.LogKind_LOG_KIND_APPEND_REPLY, Cluster: "sim", From: "b", FromIncarnation: "b-1",
+		To: "a", ToIncarnation: "a-1", Boot: 1, Term: 4, Index: 2,
+	}
+	c.step(c.now, reply)
+	require.Zero(t, c.commit, "committed an entry of an earlier term by counting copies")
+	c.saved(c.now, c.takeWork())
+	reply.Index = 3
+	c.step(c.now, reply)
+	require.EqualValues(t, 3, c.commit)
+}
+
+func TestFlowControlBoundsBytesInFlight(t *testing.T) {
+	s, a, _, _ := newTrio(t)
+	a.core.opt.InflightBytes, a.core.opt.AppendBytes, a.core.opt.TailBytes = 2000, 500, 1<<20
+	s.cutOff("b", "a") // b's answers are lost
+	for range 100 {
+		s.write(a, "0123456789")
+		s.run(simTick)
+		require.LessOrEqual(t, a.core.peer("b-1").bytes, 2000+500)
+	}
+	s.settleDown()
+}
+
+func TestProposalsAreBoundedWhileNothingCommits(t *testing.T) {
+	s, a, _, _ := newTrio(t)
+	a.core.opt.MaxQueueBytes = 1000
+	for _, h := range s.hosts {
+		h.stall()
+	}
+	var err error
+	for range 20 {
+		_, err = a.core.propose([]byte("x"))
+	}
+	require.ErrorIs(t, err, ErrBusy)
+	_, err = a.core.propose(make([]byte, DefaultMaxCommandBytes+1))
+	require.ErrorIs(t, err, ErrTooLarge)
+	_, err = s.host("b").core.propose(nil)
+	require.ErrorIs(t, err, ErrNotLeader)
+	require.ErrorContains(t, err, "the leader is a")
+}
--- a/internal/replog/sim_test.go
+++ b/internal/replog/sim_test.go
@@ -19,6 +19,8 @@
 const (
 	simTick  = 10 * time.Millisecond
 	simDelay = 1500 * time.Microsecond
+	// never is longer than any test lets pass.
+	never = time.Hour
 )
 
 // fataler is the part of rapid.T and testing.T that a simulation needs.
@@ -45,6 +47,7 @@
 	states  map[uint64]simState          // state after each index
 	clients []*simOp
 	made    map[string]int
+	watch   func(h *simHost) // called after each step of a host
 }
 
 type simMail struct {
@@ -68,6 +71,7 @@
 	core   *core
 	rate   float64
 	frozen time.Duration // until then
+	slow   time.Duration // extra time of each write
 	state  simState
 	busy   *work // what the disk is writing
 	busyAt time.Duration
@@ -248,6 +252,9 @@
 func (s *sim) settle(h *simHost) {
 	c := h.core
 	c.replicate()
+	if s.watch != nil {
+		s.watch(h)
+	}
 	for _, r := range c.out.chunks {
 		chunk, err := h.st.ReadChunk(r.id, r.offset, c.opt.ChunkBytes)
 		if err != nil {
@@ -269,7 +276,7 @@
 	c.out.messages = nil
 	if h.busy == nil {
 		if w := c.takeWork(); !w.empty() {
-			h.busy, h.busyAt = &w, s.now+time.Duration(s.rand.Int64N(int64(5*time.Millisecond)))
+			h.busy, h.busyAt = &w, s.now+h.slow+time.Duration(s.rand.Int64N(int64(5*time.Millisecond)))
 		}
 	}
 	s.apply(h)
@@ -447,6 +454,42 @@
 	return best
 }
 
+// lead makes a host the leader of a group that is whole.
+func (s *sim) lead(name string) *simHost {
+	h := s.host(name)
+	s.runUntil(name+" leads", time.Minute, func() bool {
+		if l := s.leader(); l != nil && l != h {
+			l.core.becomeFollower(l.core.state.term, "")
+		}
+		for _, o := range s.hosts {
+			o.core.promiseDeadline = o.core.now
+			o.core.resetElection()
+		}
+		if h.core.role == Follower {
+			h.core.electionDeadline = h.core.now
+		}
+		return h.core.role == Leader && h.core.ready()
+	})
+	s.run(3 * DefaultHeartbeat)
+	return h
+}
+
+// cutOff cuts the messages from one host to another.
+func (s *sim) cutOff(from, to string) { s.cut[[2]string{from, to}] = true }
+
+// isolate cuts a host off from all others.
+func (s *sim) isolate(name string) {
+	for _, h := range s.hosts {
+		s.cutOff(name, h.name)
+		s.cutOff(h.name, name)
+	}
+}
+
+// stall holds up all writes of a host until resume.
+func (h *simHost) stall() { h.slow, h.busyAt = never, never }
+
+func (h *simHost) resume() { h.slow, h.busyAt = 0, 0 }
+
 // runUntil lets time pass until a condition holds.
 func (s *sim) runUntil(what string, limit time.Duration, cond func() bool) {
 	for end := s.now + limit; !cond(); {
