--- a/internal/replog/invar_test.go
+++ b/internal/replog/invar_test.go
@@ -114,8 +114,8 @@
 	}
 }
 
-// settleDown heals everything and waits until all hosts agree.
-func (s *sim) settleDown() {
+// heal mends the network and starts what is down.
+func (s *sim) heal() {
 	s.cut = make(map[[2]string]bool)
 	s.loss, s.dup, s.delay = 0, 0, 0
 	for _, h := range s.hosts {
@@ -124,6 +124,11 @@
 			s.boot(h)
 		}
 	}
+}
+
+// settleDown heals everything and waits until all hosts agree.
+func (s *sim) settleDown() {
+	s.heal()
 	last := "last write"
 	s.runUntil("all hosts agree", time.Minute, func() bool {
 		l := s.leader()
--- a/internal/replog/prop_test.go
+++ b/internal/replog/prop_test.go
@@ -124,3 +124,81 @@
 		s.settleDown()
 	})
 }
+
+// loseDisk wipes a host if every earlier loss has been repaired, as the
+// leader shows it.
+func (f *faults) loseDisk() {
+	if f.s.repaired() {
+		f.s.wipe(f.host())
+		f.s.lost++
+	}
+}
+
+// TestPropertyLostDisks loses whole disks, each as soon as the repair of the
+// last one counts as done.
+func TestPropertyLostDisks(t *testing.T) {
+	lost := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		s := newSim(rt, rapid.Uint64().Draw(rt, "seed"), 3)
+		s.runUntil("a first leader", time.Minute, func() bool { return s.leader() != nil })
+		f := &faults{s: s, t: rt}
+		actions := append(f.actions(), f.loseDisk, f.loseDisk, f.loseDisk)
+		for range 60 {
+			i := rapid.IntRange(0, len(actions)-1).Draw(rt, "action")
+			actions[i]()
+			f.pass()
+			s.repair()
+		}
+		s.heal()
+		s.runUntil("all repairs", time.Minute, func() bool {
+			s.repair()
+			return s.repaired()
+		})
+		s.settleDown()
+		lost += s.lost
+	})
+	if lost == 0 {
+		t.Fatal("no disk was lost in any sequence")
+	}
+}
+
+// TestPropertyOldFolders restores old copies of folders while the others are
+// in reach.
+func TestPropertyOldFolders(t *testing.T) {
+	refused := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		s := newSim(rt, rapid.Uint64().Draw(rt, "seed"), 3)
+		s.runUntil("a first leader", time.Minute, func() bool { return s.leader() != nil })
+		f := &faults{s: s, t: rt}
+		for range 5 {
+			h := f.host()
+			backup := h.disk.Clone()
+			for range 8 {
+				f.writeLeader()
+				f.pass()
+			}
+			if rapid.Bool().Draw(rt, "restarted since") {
+				s.crash(h)
+				s.boot(h)
+				s.run(5 * DefaultElection)
+			}
+			s.runUntil("all repairs", time.Minute, s.repaired)
+			s.crash(h)
+			h.disk = backup
+			s.boot(h)
+			s.run(5 * DefaultElection)
+			if h.core.role == Refused {
+				refused++
+				s.wipe(h)
+			}
+			s.runUntil("all repairs", time.Minute, func() bool {
+				s.repair()
+				return s.repaired()
+			})
+		}
+		s.settleDown()
+	})
+	if refused == 0 {
+		t.Fatal("no folder was refused in any sequence")
+	}
+}
--- a/internal/replog/sim_test.go
+++ b/internal/replog/sim_test.go
@@ -47,6 +47,7 @@
 	states  map[uint64]simState          // state after each index
 	clients []*simOp
 	made    map[string]int
+	lost    int
 	watch   func(h *simHost) // called after each step of a host
 }
 
@@ -65,18 +66,20 @@
 }
 
 type simHost struct {
-	name   string
-	disk   *memdisk.Disk
-	st     *store.Store
-	core   *core
-	rate   float64
-	frozen time.Duration // until then
-	slow   time.Duration // extra time of each write
-	state  simState
-	busy   *work // what the disk is writing
-	busyAt time.Duration
-	saving bool // the frame is on disk, the protocol doesn't know it yet
-	reads  []*simOp
+	name string
+	// incarnation is what the host last ran as.
+	incarnation string
+	disk        *memdisk.Disk
+	st          *store.Store
+	core        *core
+	rate        float64
+	frozen      time.Duration // until then
+	slow        time.Duration // extra time of each write
+	state       simState
+	busy        *work // what the disk is writing
+	busyAt      time.Duration
+	saving      bool // the frame is on disk, the protocol doesn't know it yet
+	reads       []*simOp
 }
 
 // simOp is an operation of a client.
@@ -136,6 +139,7 @@
 	if err != nil {
 		s.t.Fatalf("%s doesn't start: %v", h.name, err)
 	}
+	h.incarnation = core.self
 	h.st, h.core, h.busy, h.saving, h.frozen, h.state = st, core, nil, false, 0, simState{}
 	if st.Snapshot() != nil {
 		s.restore(h)
@@ -485,6 +489,46 @@
 	}
 }
 
+// wipe takes a host's disk away and starts it with an empty one.
+func (s *sim) wipe(h *simHost) {
+	s.crash(h)
+	h.disk = memdisk.New()
+	s.boot(h)
+}
+
+// repair replaces the lost self of a host, as an operator would.
+func (s *sim) repair() {
+	l := s.leader()
+	if l == nil {
+		return
+	}
+	for _, a := range l.core.waiting() {
+		if m, err := l.core.members().lookup(a.Name); err == nil {
+			_, _ = l.core.replace(m.Incarnation, a.Name)
+			s.settle(l)
+		}
+	}
+}
+
+// repaired tells whether the leader shows every repair as done.
+func (s *sim) repaired() bool {
+	l := s.leader()
+	if l == nil || !l.core.hasLease(s.local(l)) || !l.core.ready() || l.core.history.latest().index > l.core.commit {
+		return false
+	}
+	for _, h := range s.hosts {
+		if m, err := l.core.members().lookup(h.name); err != nil || m.Incarnation != h.incarnation {
+			return false
+		}
+	}
+	for _, r := range l.core.repairs() {
+		if !r.Done {
+			return false
+		}
+	}
+	return true
+}
+
 // stall holds up all writes of a host until resume.
 func (h *simHost) stall() { h.slow, h.busyAt = never, never }
 
