--- /dev/null
+++ b/internal/replog/prop_test.go
@@ -0,0 +1,204 @@
+package replog
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// faults are the actions of the property tests.
+type faults struct {
+	s      *sim
+	t      *rapid.T
+	writes int
+	reads  int
+}
+
+const (
+	maxWrites = 40
+	maxReads  = 40
+)
+
+func (f *faults) host() *simHost { return rapid.SampledFrom(f.s.hosts).Draw(f.t, "host") }
+
+func (f *faults) pass() {
+	ms := rapid.IntRange(1, 40).Draw(f.t, "steps")
+	f.s.run(time.Duration(ms) * simTick)
+}
+
+func (f *faults) write() {
+	if f.writes < maxWrites {
+		f.writes++
+		f.s.write(f.host(), fmt.Sprint("w", f.writes))
+	}
+}
+
+func (f *faults) writeLeader() {
+	if l := f.s.leader(); l != nil && f.writes < maxWrites {
+		f.writes++
+		f.s.write(l, fmt.Sprint("w", f.writes))
+	}
+}
+
+func (f *faults) read() {
+	if f.reads < maxReads {
+		f.reads++
+		f.s.read(f.host())
+	}
+}
+
+func (f *faults) cutPair() {
+	f.s.cut[[2]string{f.host().name, f.host().name}] = true
+}
+
+func (f *faults) isolate() {
+	h := f.host()
+	for _, o := range f.s.hosts {
+		f.s.cut[[2]string{h.name, o.name}] = true
+		f.s.cut[[2]string{o.name, h.name}] = true
+	}
+}
+
+func (f *faults) heal() {
+	f.s.cut = make(map[[2]string]bool)
+	f.s.loss, f.s.dup, f.s.delay = 0, 0, 0
+}
+
+func (f *faults) noise() {
+	f.s.loss, f.s.dup, f.s.delay = 0.1, 0.1, 30*time.Millisecond
+}
+
+func (f *faults) crash() { f.s.crash(f.host()) }
+
+func (f *faults) crashAll() {
+	for _, h := range f.s.hosts {
+		f.s.crash(h)
+	}
+}
+
+func (f *faults) boot() {
+	for _, h := range f.s.hosts {
+		if h.core == nil {
+			f.s.boot(h)
+		}
+	}
+}
+
+func (f *faults) freeze() {
+	h := f.host()
+	h.frozen = f.s.now + time.Duration(rapid.IntRange(1, 300).Draw(f.t, "frozen"))*simTick
+}
+
+func (f *faults) snapshot() {
+	if h := f.host(); f.s.up(h) {
+		f.s.snapshot(h)
+	}
+}
+
+// actions gives frequent actions more places.
+func (f *faults) actions() []func() {
+	return []func(){
+		f.pass, f.pass, f.pass, f.write, f.writeLeader, f.writeLeader, f.writeLeader, f.read, f.read, f.read,
+		f.cutPair, f.isolate, f.heal, f.heal, f.noise, f.crash, f.boot, f.boot, f.crashAll, f.freeze, f.snapshot,
+	}
+}
+
+func (f *faults) play(n int) {
+	actions := f.actions()
+	for range n {
+		i := rapid.IntRange(0, len(actions)-1).Draw(f.t, "action")
+		actions[i]()
+		f.pass()
+	}
+}
+
+func TestPropertyFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.SampledFrom([]int{3, 3, 5}).Draw(rt, "hosts")
+		s := newSim(rt, rapid.Uint64().Draw(rt, "seed"), n)
+		s.runUntil("a first leader", time.Minute, func() bool { return s.leader() != nil })
+		f := &faults{s: s, t: rt}
+		f.play(60)
+		s.settleDown()
+	})
+}
+
+// loseDisk wipes a host if every earlier loss has been repaired, as the
+// leader shows it.
+func (f *faults) loseDisk() {
+	if f.s.repaired() {
+		f.s.wipe(f.host())
+		f.s.lost++
+	}
+}
+
+// TestPropertyLostDisks loses whole disks, each as soon as the repair of the
+// last one counts as done.
+func TestPropertyLostDisks(t *testing.T) {
+	lost := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		s := newSim(rt, rapid.Uint64().Draw(rt, "seed"), 3)
+		s.runUntil("a first leader", time.Minute, func() bool { return s.leader() != nil })
+		f := &faults{s: s, t: rt}
+		actions := append(f.actions(), f.loseDisk, f.loseDisk, f.loseDisk)
+		for range 60 {
+			i := rapid.IntRange(0, len(actions)-1).Draw(rt, "action")
+			actions[i]()
+			f.pass()
+			s.repair()
+		}
+		s.heal()
+		s.runUntil("all repairs", time.Minute, func() bool {
+			s.repair()
+			return s.repaired()
+		})
+		s.settleDown()
+		lost += s.lost
+	})
+	if lost == 0 {
+		t.Fatal("no disk was lost in any sequence")
+	}
+}
+
+// TestPropertyOldFolders restores old copies of folders while the others are
+// in reach.
+func TestPropertyOldFolders(t *testing.T) {
+	refused := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		s := newSim(rt, rapid.Uint64().Draw(rt, "seed"), 3)
+		s.runUntil("a first leader", time.Minute, func() bool { return s.leader() != nil })
+		f := &faults{s: s, t: rt}
+		for range 5 {
+			h := f.host()
+			backup := h.disk.Clone()
+			for range 8 {
+				f.writeLeader()
+				f.pass()
+			}
+			if rapid.Bool().Draw(rt, "restarted since") {
+				s.crash(h)
+				s.boot(h)
+				s.run(5 * DefaultElection)
+			}
+			s.runUntil("all repairs", time.Minute, s.repaired)
+			s.crash(h)
+			h.disk = backup
+			s.boot(h)
+			s.run(5 * DefaultElection)
+			if h.core.role == Refused {
+				refused++
+				s.wipe(h)
+			}
+			s.runUntil("all repairs", time.Minute, func() bool {
+				s.repair()
+				return s.repaired()
+			})
+		}
+		s.settleDown()
+	})
+	if refused == 0 {
+		t.Fatal("no folder was refused in any sequence")
+	}
+}
