--- /dev/null
+++ b/pkg/client/list.go
@@ -0,0 +1,42 @@
+package client
+
+import "github.com/knapweedlug/knapweedlug/pkg/model"
+
+// Confirm is the body of POST /v1/plans/{id}/confirm.
+type Confirm struct {
+	Operator string `json:"operator"`
+}
+
+// TeamList is the answer of GET /v1/teams.
+type TeamList struct {
+	Teams []model.Team `json:"teams"`
+}
+
+// ServiceList is the answer of GET /v1/services.
+type ServiceList struct {
+	Services []model.Service `json:"services"`
+}
+
+// JobList is the answer of GET /v1/jobs.
+type JobList struct {
+	Jobs []model.Job `json:"jobs"`
+}
+
+// WorkerList is the answer of GET /v1/workers.
+type WorkerList struct {
+	Workers []model.Worker `json:"workers"`
+}
+
+// Blocker is one thing that a job waits for.
+type Blocker struct {
+	What string `json:"what"` // for example "guarantee of team linen"
+	Why  string `json:"why"`
+}
+
+// Explanation is the answer of GET /v1/jobs/{id}/explain: why a job is where it
+// is.
+type Explanation struct {
+	Job      model.Job `json:"job"`
+	Reason   string    `json:"reason"`
+	Blockers []Blocker `json:"blockers,omitempty"`
+}
