Add knapctl

Cause: operators had no client. Ruled out: cobra's own required flags, whose errors can't be told from others; each command checks and answers with exit code 2. Change: cmd/knapctl, a file a command; JSON or table; exit codes 0 to 5. An intent keeps its id over every attempt. knapd exits with 2 on wrong usage, too.

--- /dev/null
+++ b/cmd/knapctl/admin.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/dghubble/sling"
+	"github.com/spf13/cobra"
+
+	"github.com/knapweedlug/knapweedlug/internal/kern"
+	"github.com/knapweedlug/knapweedlug/pkg/client"
+)
+
+const (
+	adminTimeout = 30 * time.Second
+	adminBody    = 256 << 20 // bytes of an answer
+)
+
+// adminFlags are the flags of commands that talk to one process.
+type adminFlags struct {
+	node string
+}
+
+func (f *adminFlags) addFlags(cmd *cobra.Command) {
+	cmd.Flags().StringVar(&f.node, "node", "", "name of the process, if the key file holds its role's master key")
+}
+
+// exchange makes a request to the admin listener of a process.
+func (a *app) exchange(cmd *cobra.Command, f adminFlags, addr string, edit func(*sling.Sling) *sling.Sling) ([]byte, error) {
+	token, err := a.adminToken(f)
+	if err != nil {
+		return nil, err
+	}
+	if !strings.Contains(addr, "://") {
+		addr = "http://" + addr
+	}
+	req, err := edit(sling.New().Base(addr).Set("Authorization", "Bearer "+token)).Request()
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errUsage, err)
+	}
+	resp, err := (&http.Client{Timeout: adminTimeout}).Do(req.WithContext(cmd.Context()))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", client.ErrUnreachable, err)
+	}
+	defer resp.Body.Close() //nolint:errcheck // only read from
+	text, err := io.ReadAll(io.LimitReader(resp.Body, adminBody))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", client.ErrUnreachable, err)
+	}
+	switch {
+	case resp.StatusCode == http.StatusUnauthorized:
+		return nil, errors.Wrapf(client.ErrDenied, "%s", addr)
+	case resp.StatusCode >= http.StatusBadRequest:
+		return nil, errors.Newf("%s: status %d: %s", addr, resp.StatusCode, strings.TrimSpace(string(text)))
+	default:
+		return text, nil
+	}
+}
+
+// adminToken derives the token of a process from the key file.
+func (a *app) adminToken(f adminFlags) (string, error) {
+	p, err := a.profile()
+	if err != nil {
+		return "", err
+	}
+	text, err := p.key()
+	if err != nil {
+		return "", err
+	}
+	key, err := hex.DecodeString(text)
+	if err != nil {
+		return "", fmt.Errorf("%w: key file: want a key in hex", errUsage)
+	}
+	if f.node != "" {
+		key = kern.DeriveKey(key, f.node)
+	}
+	return kern.AdminToken(key), nil
+}
--- /dev/null
+++ b/cmd/knapctl/app.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+
+	"github.com/knapweedlug/knapweedlug/internal/kern"
+	"github.com/knapweedlug/knapweedlug/pkg/client"
+)
+
+// app holds what every command shares.
+type app struct {
+	config  string
+	servers []string
+	name    string
+	keyFile string
+	output  string
+}
+
+// profile is the settings file of knapctl.
+type profile struct {
+	Servers  []string `json:"servers"`
+	Operator string   `json:"operator"`
+	KeyFile  string   `json:"keyfile"`
+}
+
+func (a *app) addFlags(f *pflag.FlagSet) {
+	f.StringVar(&a.config, "config", os.Getenv("KNAPCTL_CONFIG"), "settings file of knapctl")
+	f.StringSliceVar(&a.servers, "server", nil, "base URL of an entry or control process; several are tried in turn")
+	f.StringVar(&a.name, "operator", "", "name of the operator")
+	f.StringVar(&a.keyFile, "key-file", "", "file that holds the operator's key (dump and loglevel: the node's key)")
+	f.StringVarP(&a.output, "output", "o", "table", "table or json")
+}
+
+// profile returns the settings from flags, environment and file.
+func (a *app) profile() (profile, error) {
+	p, err := readProfile(a.config)
+	if err != nil {
+		return p, err
+	}
+	p.Operator = first(a.name, os.Getenv("KNAPCTL_OPERATOR"), p.Operator)
+	p.KeyFile = first(a.keyFile, os.Getenv("KNAPCTL_KEY_FILE"), p.KeyFile)
+	if env := os.Getenv("KNAPCTL_SERVER"); env != "" {
+		p.Servers = strings.Split(env, ",")
+	}
+	if len(a.servers) > 0 {
+		p.Servers = a.servers
+	}
+	return p, nil
+}
+
+func readProfile(path string) (profile, error) {
+	var p profile
+	if path == "" {
+		return p, nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return p, fmt.Errorf("%w: %w", errUsage, err)
+	}
+	return p, decodeFile(path, text, &p)
+}
+
+// decodeFile decodes a JSON file and refuses it with every problem at once.
+func decodeFile(path string, text []byte, into any) error {
+	problems, err := kern.Decode(text, into)
+	if err != nil {
+		return fmt.Errorf("%w: %s: %w", errUsage, path, err)
+	}
+	if len(problems) == 0 {
+		return nil
+	}
+	lines := make([]string, 0, len(problems))
+	for _, p := range problems {
+		lines = append(lines, "  "+p.String())
+	}
+	return fmt.Errorf("%w: %s has %d problems:\n%s", errUsage, path, len(problems), strings.Join(lines, "\n"))
+}
+
+func first(values ...string) string {
+	for _, v := range values {
+		if v != "" {
+			return v
+		}
+	}
+	return ""
+}
+
+// key reads the key file.
+func (p profile) key() (string, error) {
+	if p.KeyFile == "" {
+		return "", fmt.Errorf("%w: give --key-file", errUsage)
+	}
+	text, err := os.ReadFile(p.KeyFile)
+	if err != nil {
+		return "", fmt.Errorf("%w: %w", errUsage, err)
+	}
+	return strings.TrimSpace(string(text)), nil
+}
+
+// operator returns the client and the operator's name.
+func (a *app) operator() (*client.Operator, string, error) {
+	p, err := a.profile()
+	if err != nil {
+		return nil, "", err
+	}
+	if p.Operator == "" {
+		return nil, "", fmt.Errorf("%w: give --operator", errUsage)
+	}
+	key, err := p.key()
+	if err != nil {
+		return nil, "", err
+	}
+	o, err := client.NewOperator(p.Servers, p.Operator, key, &http.Client{})
+	if errors.Is(err, client.ErrNoServer) || errors.Is(err, client.ErrBad) {
+		err = fmt.Errorf("%w: --server: %w", errUsage, err)
+	}
+	return o, p.Operator, err
+}
+
+// with runs a command that needs the operator's client.
+func (a *app) with(run func(cmd *cobra.Command, o *client.Operator, args []string) error) func(*cobra.Command, []string) error {
+	return func(cmd *cobra.Command, args []string) error {
+		if err := a.checkOutput(); err != nil {
+			return err
+		}
+		o, _, err := a.operator()
+		if err != nil {
+			return err
+		}
+		return run(cmd, o, args)
+	}
+}
--- /dev/null
+++ b/cmd/knapctl/cancel.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"github.com/spf13/cobra"
+
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+const cancelHelp = `Cancel jobs, in one intent. What runs of them is stopped.`
+
+// newCancel returns the command that cancels jobs.
+func newCancel(a *app) *cobra.Command {
+	var p proposal
+	cmd := &cobra.Command{
+		Use:     "cancel JOB...",
+		Short:   "Cancel jobs",
+		Long:    cancelHelp,
+		Example: "  knapctl cancel j-12 j-13 --confirm",
+		Args:    atLeastOne,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			ops := make([]model.Op, 0, len(args))
+			for _, id := range args {
+				ops = append(ops, model.Op{Kind: model.OpCancelJob, Name: id})
+			}
+			return a.propose(cmd, p, model.Intent{Ops: ops})
+		},
+	}
+	p.addFlags(cmd)
+	return cmd
+}
--- /dev/null
+++ b/cmd/knapctl/config.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/spf13/cobra"
+
+	"github.com/knapweedlug/knapweedlug/pkg/client"
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+const configHelp = `Show the configuration in force, its history, what changed between two revisions, or
+which revision each process has in force.`
+
+const configExample = `  knapctl config
+  knapctl config history
+  knapctl config diff 41 44
+  knapctl config status`
+
+// newConfig returns the command that shows the configuration.
+func newConfig(a *app) *cobra.Command {
+	cmd := &cobra.Command{
+		Use:     "config",
+		Short:   "Show the configuration and its history",
+		Long:    configHelp,
+		Example: configExample,
+		Args:    exactly(),
+		RunE: a.with(func(cmd *cobra.Command, o *client.Operator, _ []string) error {
+			cfg, err := o.Config(cmd.Context())
+			if err != nil {
+				return err
+			}
+			return a.print(cmd, cfg, func() *table { return configTable(cfg) })
+		}),
+	}
+	cmd.AddCommand(newConfigHistory(a), newConfigDiff(a), newConfigStatus(a))
+	return cmd
+}
+
+func configTable(cfg client.Config) *table {
+	t := &table{head: []string{"REVISION", strconv.FormatUint(cfg.Revision, 10)}}
+	for _, team := range cfg.Teams {
+		t.add("team", team.Name)
+	}
+	for _, s := range cfg.Services {
+		t.add("service", s.Name)
+	}
+	return t
+}
+
+func newConfigHistory(a *app) *cobra.Command {
+	return &cobra.Command{
+		Use:     "history",
+		Short:   "List accepted changes, newest first",
+		Example: "  knapctl config history --output json",
+		Args:    exactly(),
+		RunE: a.with(func(cmd *cobra.Command, o *client.Operator, _ []string) error {
+			h, err := o.History(cmd.Context())
+			if err != nil {
+				return err
+			}
+			return a.print(cmd, h, func() *table {
+				t := &table{head: []string{"REVISION", "AT", "OPERATOR", "INTENT", "CHANGES"}}
+				for _, r := range h.Revisions {
+					t.add(r.Revision, r.At, r.Operator, r.Intent, len(r.Changes))
+				}
+				return t
+			})
+		}),
+	}
+}
+
+func newConfigDiff(a *app) *cobra.Command {
+	return &cobra.Command{
+		Use:     "diff FROM TO",
+		Short:   "Show what changed between two revisions",
+		Example: "  knapctl config diff 41 44",
+		Args:    exactly("FROM", "TO"),
+		RunE: a.with(func(cmd *cobra.Command, o *client.Operator, args []string) error {
+			from, err := revision(args[0])
+			if err != nil {
+				return err
+			}
+			to, err := revision(args[1])
+			if err != nil {
+				return err
+			}
+			d, err := o.Diff(cmd.Context(), from, to)
+			if err != nil {
+				return err
+			}
+			return a.print(cmd, d, func() *table { return changeTable(d.Changes) })
+		}),
+	}
+}
+
+func revision(text string) (uint64, error) {
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("%w: revision %q: want a whole number", errUsage, text)
+	}
+	return n, nil
+}
+
+func changeTable(changes []model.Change) *table {
+	t := &table{head: []string{"WHAT", "BEFORE", "AFTER"}}
+	for _, c := range changes {
+		t.add(c.What, c.Before, c.After)
+	}
+	return t
+}
+
+func newConfigStatus(a *app) *cobra.Command {
+	return &cobra.Command{
+		Use:     "status",
+		Short:   "List which revision each process has in force",
+		Example: "  knapctl config status",
+		Args:    exactly(),
+		RunE: a.with(func(cmd *cobra.Command, o *client.Operator, _ []string) error {
+			s, err := o.Status(cmd.Context())
+			if err != nil {
+				return err
+			}
+			return a.print(cmd, s, func() *table {
+				t := &table{head: []string{"PROCESS", "ROLE", "DOMAIN", "REVISION", "BEHIND", "FRESH", "SEEN"}}
+				for _, p := range s.Processes {
+					t.add(p.Name, p.Role, p.Domain, p.Revision, s.Revision-min(p.Revision, s.Revision), p.Fresh, p.Seen)
+				}
+				return t
+			})
+		}),
+	}
+}
--- /dev/null
+++ b/cmd/knapctl/main_test.go
@@ -0,0 +1,225 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/spf13/cobra"
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedlug/knapweedlug/internal/kern"
+	"github.com/knapweedlug/knapweedlug/pkg/client"
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+const testKey = "000102030405060708090a0b0c0d0e0f"
+
+// outcome is what a run of knapctl left.
+type outcome struct {
+	code           int
+	stdout, stderr string
+}
+
+func run(t *testing.T, stdin string, args ...string) outcome {
+	t.Helper()
+	var stdout, stderr bytes.Buffer
+	root := newRoot(&app{})
+	root.SetArgs(args)
+	root.SetIn(strings.NewReader(stdin))
+	root.SetOut(&stdout)
+	root.SetErr(&stderr)
+	code := execute(t.Context(), root)
+	return outcome{code, stdout.String(), stderr.String()}
+}
+
+func file(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "file")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+// serve answers every request with one value and returns flags that lead there.
+func serve(t *testing.T, status int, v any) []string {
+	t.Helper()
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_ = json.NewEncoder(w).Encode(v)
+	}))
+	t.Cleanup(srv.Close)
+	return flags(t, srv.URL)
+}
+
+func flags(t *testing.T, url string) []string {
+	return []string{"--server", url, "--operator", "ala", "--key-file", file(t, testKey+"\n")}
+}
+
+func TestExitCodes(t *testing.T) {
+	refusal := func(c client.Code) []string {
+		return serve(t, c.Status(), client.ErrorBody{Error: &client.Error{Code: c, Message: "m"}})
+	}
+	plan := func(s model.PlanState) []string { return serve(t, http.StatusOK, model.Plan{ID: "p", State: s}) }
+	tests := map[string]struct {
+		flags []string
+		args  []string
+		code  int
+	}{
+		"listing":            {serve(t, 200, client.TeamList{}), []string{"teams"}, exitOK},
+		"not found":          {refusal(client.CodeNotFound), []string{"job", "j"}, exitError},
+		"unknown command":    {nil, []string{"appply"}, exitUsage},
+		"unknown subcommand": {nil, []string{"members", "lst"}, exitUsage},
+		"unknown flag":       {nil, []string{"teams", "--colour"}, exitUsage},
+		"argument missing":   {nil, []string{"job"}, exitUsage},
+		"no server":          {flags(t, "")[2:], []string{"teams"}, exitUsage},
+		"bad server":         {flags(t, "127.0.0.1:1"), []string{"teams"}, exitUsage},
+		"bad output":         {refusal(client.CodeBad), []string{"teams", "-o", "xml"}, exitUsage},
+		"bad scope":          {nil, []string{"drain", "host", "w1"}, exitUsage},
+		"submit without":     {nil, []string{"submit"}, exitUsage},
+		"conflict":           {refusal(client.CodeConflict), []string{"confirm", "p"}, exitConflict},
+		"plan in conflict":   {plan(model.PlanConflict), []string{"confirm", "p"}, exitConflict},
+		"plan expired":       {plan(model.PlanExpired), []string{"confirm", "p"}, exitConflict},
+		"plan refused":       {plan(model.PlanRefused), []string{"cancel", "j"}, exitRefused},
+		"denied":             {refusal(client.CodeDenied), []string{"workers"}, exitRefused},
+		"unreachable":        {flags(t, "http://127.0.0.1:1"), []string{"workers"}, exitUnreachable},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := run(t, "", append(tt.args, tt.flags...)...)
+			require.Equal(t, tt.code, got.code, got.stderr)
+		})
+	}
+}
+
+// control is a server of intents that loses its first answer.
+type control struct {
+	intents  []model.Intent
+	confirms int
+}
+
+func (c *control) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.HasSuffix(r.URL.Path, "/confirm") {
+		c.confirms++
+		_ = json.NewEncoder(w).Encode(model.Plan{ID: "p1", State: model.PlanConfirmed, Revision: 8})
+		return
+	}
+	var in model.Intent
+	_ = json.NewDecoder(r.Body).Decode(&in)
+	c.intents = append(c.intents, in)
+	if len(c.intents) == 1 {
+		panic(http.ErrAbortHandler)
+	}
+	_ = json.NewEncoder(w).Encode(model.Plan{ID: "p1", State: model.PlanOpen, Changes: []model.Change{{What: "team linen"}}})
+}
+
+func TestApply(t *testing.T) {
+	intent := `{"ops":[{"kind":"set-team","team":{"name":"linen","weight":1}}]}`
+	tests := map[string]struct {
+		stdin    string
+		args     []string
+		confirms int
+		want     string
+	}{
+		"asked, yes":      {"y\n", nil, 1, "confirmed"},
+		"asked, no":       {"n\n", nil, 0, "open"},
+		"nobody to ask":   {"", nil, 0, "open"},
+		"confirmed":       {"", []string{"--confirm"}, 1, "confirmed"},
+		"dry run":         {"y\n", []string{"--confirm", "--dry-run"}, 0, "open"},
+		"JSON, not asked": {"y\n", []string{"-o", "json"}, 0, `"state": "open"`},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := &control{}
+			srv := httptest.NewServer(c)
+			defer srv.Close()
+			args := append([]string{"apply", file(t, intent)}, flags(t, srv.URL)...)
+			got := run(t, tt.stdin, append(args, tt.args...)...)
+			require.Equal(t, exitOK, got.code, got.stderr)
+			require.Contains(t, got.stdout, tt.want)
+			require.Equal(t, tt.confirms, c.confirms)
+			require.Len(t, c.intents, 2)
+			require.Equal(t, c.intents[0], c.intents[1])
+			require.NotEmpty(t, c.intents[0].ID)
+			require.Equal(t, "ala", c.intents[0].Operator)
+		})
+	}
+}
+
+func TestApplyRefusesBadFile(t *testing.T) {
+	got := run(t, "", "apply", file(t, `{"opps":[],"ops":[{"kind":"set-team","team":{"title":"x","slots":"8"}}]}`))
+	require.Equal(t, exitUsage, got.code)
+	for _, field := range []string{"opps", "ops[0].team.title", "ops[0].team.slots"} {
+		require.Contains(t, got.stderr, field)
+	}
+	got = run(t, "", "apply", file(t, `{"ops":[`))
+	require.Equal(t, exitUsage, got.code)
+	require.Contains(t, got.stderr, "line 1")
+}
+
+func TestSubmitNamesSameJobAgain(t *testing.T) {
+	s := submission{job: model.Job{Team: "linen", Command: "sleep 1s"}, deadline: "2026-04-05T06:00:00Z", memory: 2}
+	job, err := s.build("i1")
+	require.NoError(t, err)
+	again, err := s.build("i1")
+	require.NoError(t, err)
+	require.Equal(t, job, again)
+	require.Equal(t, "j-i1", job.ID)
+	require.EqualValues(t, 2<<30, job.Shape.Memory)
+}
+
+func TestDumpDerivesToken(t *testing.T) {
+	master := []byte{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15}
+	want := "Bearer " + kern.AdminToken(kern.DeriveKey(master, "agent-3"))
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Authorization") != want {
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
+		_, _ = w.Write([]byte(`{"roles":{}}`))
+	}))
+	defer srv.Close()
+	addr := strings.TrimPrefix(srv.URL, "http://")
+	got := run(t, "", append([]string{"dump", addr, "--node", "agent-3"}, flags(t, srv.URL)...)...)
+	require.Equal(t, outcome{exitOK, `{"roles":{}}`, ""}, got)
+	got = run(t, "", append([]string{"dump", addr, "--node", "agent-4"}, flags(t, srv.URL)...)...)
+	require.Equal(t, exitRefused, got.code)
+}
+
+func TestKeys(t *testing.T) {
+	made := run(t, "", "key", "new")
+	require.Equal(t, exitOK, made.code)
+	path := file(t, made.stdout)
+	one := run(t, "", "key", "derive", "agent-1", "--key-file", path)
+	two := run(t, "", "key", "derive", "agent-2", "--key-file", path)
+	require.Len(t, strings.TrimSpace(one.stdout), 64)
+	require.NotEqual(t, one.stdout, two.stdout)
+	require.Equal(t, exitUsage, run(t, "", "key", "derive", "a", "--key-file", file(t, "abcd")).code)
+}
+
+func TestProfileFromFile(t *testing.T) {
+	args := serve(t, http.StatusOK, client.WorkerList{Workers: []model.Worker{{Name: "w00"}}})
+	text, err := json.Marshal(profile{Servers: []string{args[1]}, Operator: "ala", KeyFile: args[5]})
+	require.NoError(t, err)
+	got := run(t, "", "workers", "--config", file(t, string(text)))
+	require.Equal(t, exitOK, got.code, got.stderr)
+	require.Contains(t, got.stdout, "w00")
+}
+
+func TestEveryCommandIsExplained(t *testing.T) {
+	var check func(*cobra.Command)
+	check = func(c *cobra.Command) {
+		require.NotEmpty(t, c.Short, c.CommandPath())
+		if c.HasParent() && c.Name() != "version" {
+			require.NotEmpty(t, c.Example, c.CommandPath())
+		}
+		for _, sub := range c.Commands() {
+			check(sub)
+		}
+	}
+	check(newRoot(&app{}))
+}
--- /dev/null
+++ b/cmd/knapctl/members.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/google/uuid"
+	"github.com/spf13/cobra"
+
+	"github.com/knapweedlug/knapweedlug/pkg/client"
+)
+
+const membersHelp = `List the replicas of the log, or change which there are. A new replica joins as a
+learner, catches up, and is promoted; only then does it count. replace does all of
+this and then removes the old one.`
+
+const membersExample = `  knapctl members list
+  knapctl members add ctl-4 --addr 10.0.0.4:7500 --domain b
+  knapctl members promote ctl-4
+  knapctl members replace ctl-2 --with ctl-4 --addr 10.0.0.4:7500 --domain b`
+
+// newMembers returns the command that lists and changes the replicas of the log.
+func newMembers(a *app) *cobra.Command {
+	cmd := group(&cobra.Command{Use: "members", Short: "List or change the replicas of the log", Long: membersHelp, Example: membersExample})
+	cmd.AddCommand(
+		newMembersList(a),
+		newMemberVerb(a, client.MemberAdd, "Add a learner"),
+		newMemberVerb(a, client.MemberPromote, "Promote a learner that has caught up"),
+		newMemberVerb(a, client.MemberRemove, "Remove a replica"),
+		newMemberVerb(a, client.MemberReplace, "Replace a replica by a new one"),
+	)
+	return cmd
+}
+
+func newMembersList(a *app) *cobra.Command {
+	return &cobra.Command{
+		Use:     "list",
+		Short:   "List the replicas of the log",
+		Example: "  knapctl members list --output json",
+		Args:    exactly(),
+		RunE: a.with(func(cmd *cobra.Command, o *client.Operator, _ []string) error {
+			list, err := o.Members(cmd.Context())
+			if err != nil {
+				return err
+			}
+			return a.print(cmd, list, func() *table { return memberTable(list) })
+		}),
+	}
+}
+
+func newMemberVerb(a *app, verb client.MemberVerb, short string) *cobra.Command {
+	c := client.MemberChange{Verb: verb}
+	cmd := &cobra.Command{
+		Use:     string(verb) + " MEMBER",
+		Short:   short,
+		Example: "  knapctl members " + string(verb) + " ctl-4",
+		Args:    exactly("MEMBER"),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := a.checkOutput(); err != nil {
+				return err
+			}
+			o, name, err := a.operator()
+			if err != nil {
+				return err
+			}
+			if verb == client.MemberReplace && c.With == "" {
+				return fmt.Errorf("%w: give --with", errUsage)
+			}
+			change := c
+			change.ID, change.Operator, change.Name = first(c.ID, uuid.NewString()), name, args[0]
+			list, err := o.ChangeMembers(cmd.Context(), change)
+			if err != nil {
+				return err
+			}
+			return a.print(cmd, list, func() *table { return memberTable(list) })
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&c.ID, "id", "", "id of the change, to send an earlier one again; made up if not given")
+	if verb == client.MemberAdd || verb == client.MemberReplace {
+		f.StringVar(&c.Addr, "addr", "", "address of the new replica, IP and port")
+		f.StringVar(&c.Domain, "domain", "", "failure domain of the new replica")
+	}
+	if verb == client.MemberReplace {
+		f.StringVar(&c.With, "with", "", "name of the new replica")
+	}
+	return cmd
+}
+
+func memberTable(list client.MemberList) *table {
+	t := &table{head: []string{"MEMBER", "ROLE", "ADDR", "DOMAIN", "MATCH", "LAG", "REPAIR", "LIVE"}}
+	for _, m := range list.Members {
+		t.add(m.Name, m.Role, m.Addr, m.Domain, m.Match, m.Lag, m.Repair, m.Live)
+	}
+	return t
+}
--- /dev/null
+++ b/cmd/knapctl/print.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+)
+
+// Forms of output.
+const (
+	outputTable = "table"
+	outputJSON  = "json"
+)
+
+func (a *app) checkOutput() error {
+	if a.output != outputTable && a.output != outputJSON {
+		return fmt.Errorf("%w: --output %q: want table or json", errUsage, a.output)
+	}
+	return nil
+}
+
+// table is what people read of a value.
+type table struct {
+	head []string
+	rows [][]string
+}
+
+// add appends a row.
+func (t *table) add(cells ...any) {
+	row := make([]string, 0, len(cells))
+	for _, c := range cells {
+		row = append(row, cell(c))
+	}
+	t.rows = append(t.rows, row)
+}
+
+// cell returns a value as a table shows it.
+func cell(v any) string {
+	text := fmt.Sprint(v)
+	if at, ok := v.(time.Time); ok {
+		text = ""
+		if !at.IsZero() {
+			text = at.Format(time.RFC3339)
+		}
+	}
+	if text == "" {
+		return "-"
+	}
+	return text
+}
+
+// write writes the table with its columns aligned.
+func (t *table) write(w io.Writer) error {
+	tw := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(tw, strings.Join(t.head, "\t"))
+	for _, row := range t.rows {
+		fmt.Fprintln(tw, strings.Join(row, "\t"))
+	}
+	return tw.Flush()
+}
+
+// print writes a value as JSON, or as the table that makes returns.
+func (a *app) print(cmd *cobra.Command, v any, makes func() *table) error {
+	if a.output == outputJSON {
+		enc := json.NewEncoder(cmd.OutOrStdout())
+		enc.SetIndent("", "  ")
+		return enc.Encode(v)
+	}
+	return makes().write(cmd.OutOrStdout())
+}
--- /dev/null
+++ b/cmd/knapctl/report.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"github.com/spf13/cobra"
+
+	"github.com/knapweedlug/knapweedlug/pkg/client"
+)
+
+const reportHelp = `Report how every guaranteed shape stands, or how scattered the free accelerators are.`
+
+const reportExample = `  knapctl report guarantees
+  knapctl report fragmentation --output json`
+
+// newReport returns the command that reports on guarantees and fragmentation.
+func newReport(a *app) *cobra.Command {
+	cmd := group(&cobra.Command{Use: "report", Short: "Report on guarantees and fragmentation", Long: reportHelp, Example: reportExample})
+	cmd.AddCommand(newGuarantees(a), newFragmentation(a))
+	return cmd
+}
+
+func newGuarantees(a *app) *cobra.Command {
+	return &cobra.Command{
+		Use:     "guarantees",
+		Short:   "Report how every guaranteed shape stands",
+		Example: "  knapctl report guarantees",
+		Args:    exactly(),
+		RunE: a.with(func(cmd *cobra.Command, o *client.Operator, _ []string) error {
+			r, err := o.Guarantees(cmd.Context())
+			if err != nil {
+				return err
+			}
+			return a.print(cmd, r, func() *table {
+				t := &table{head: []string{"TEAM", "SHAPE", "COUNT", "IN USE", "WITNESSED", "SHORT", "REASON"}}
+				for _, l := range r.Lines {
+					t.add(l.Team, l.Shape, l.Count, l.InUse, l.Witnessed, l.Short, l.Reason)
+				}
+				return t
+			})
+		}),
+	}
+}
+
+func newFragmentation(a *app) *cobra.Command {
+	return &cobra.Command{
+		Use:     "fragmentation",
+		Short:   "Report how scattered the free accelerators are",
+		Example: "  knapctl report fragmentation",
+		Args:    exactly(),
+		RunE: a.with(func(cmd *cobra.Command, o *client.Operator, _ []string) error {
+			r, err := o.Fragmentation(cmd.Context())
+			if err != nil {
+				return err
+			}
+			return a.print(cmd, r, func() *table {
+				t := &table{head: []string{"REGION", "KIND", "ACCELS", "FREE", "WHOLE WORKERS", "ON A WORKER", "IN A RACK", "IN A DOMAIN"}}
+				for _, l := range r.Lines {
+					t.add(l.Region, l.Kind, l.Accels, l.Free, l.WholeWorkers, l.LargestWorker, l.LargestRack, l.LargestDomain)
+				}
+				return t
+			})
+		}),
+	}
+}
--- /dev/null
+++ b/cmd/knapctl/teams.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"github.com/knapweedlug/knapweedlug/pkg/client"
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+const teamsHelp = `List teams with what they are guaranteed.`
+
+// newTeams returns the command that lists teams.
+func newTeams(a *app) *cobra.Command {
+	return &cobra.Command{
+		Use:     "teams",
+		Short:   "List teams",
+		Long:    teamsHelp,
+		Example: "  knapctl teams",
+		Args:    exactly(),
+		RunE: a.with(func(cmd *cobra.Command, o *client.Operator, _ []string) error {
+			list, err := o.Teams(cmd.Context())
+			if err != nil {
+				return err
+			}
+			return a.print(cmd, list, func() *table { return teamTable(list.Teams) })
+		}),
+	}
+}
+
+func teamTable(teams []model.Team) *table {
+	t := &table{head: []string{"TEAM", "SLOTS", "WEIGHT", "QUOTA", "GUARANTEES"}}
+	for _, m := range teams {
+		shapes := make([]string, 0, len(m.Guarantees))
+		for _, g := range m.Guarantees {
+			shapes = append(shapes, cell(g.Count)+" of "+g.Shape.String())
+		}
+		t.add(m.Name, m.Slots, m.Weight, m.Quota, strings.Join(shapes, ", "))
+	}
+	return t
+}
--- /dev/null
+++ b/cmd/knapctl/uncordon.go
@@ -0,0 +1,14 @@
+package main
+
+import (
+	"github.com/spf13/cobra"
+
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+const uncordonHelp = `Give work again to a worker, a rack or a failure domain that was cordoned or drained.`
+
+// newUncordon returns the command that ends a cordon or a drain.
+func newUncordon(a *app) *cobra.Command {
+	return newScoped(a, model.OpUncordon, "uncordon", "Give workers work again", uncordonHelp)
+}
--- /dev/null
+++ b/cmd/knapctl/workers.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"github.com/spf13/cobra"
+
+	"github.com/knapweedlug/knapweedlug/pkg/client"
+)
+
+const workersHelp = `List workers with their place, size, speed and state.`
+
+// newWorkers returns the command that lists workers.
+func newWorkers(a *app) *cobra.Command {
+	return &cobra.Command{
+		Use:     "workers",
+		Short:   "List workers",
+		Long:    workersHelp,
+		Example: "  knapctl workers --output json",
+		Args:    exactly(),
+		RunE: a.with(func(cmd *cobra.Command, o *client.Operator, _ []string) error {
+			list, err := o.Workers(cmd.Context())
+			if err != nil {
+				return err
+			}
+			return a.print(cmd, list, func() *table { return workerTable(list) })
+		}),
+	}
+}
+
+func workerTable(list client.WorkerList) *table {
+	t := &table{head: []string{"WORKER", "STATE", "RACK", "DOMAIN", "REGION", "CORES", "MEMORY GIB", "ACCELS", "KIND", "SPEED"}}
+	for _, w := range list.Workers {
+		t.add(w.Name, w.State, w.Rack, w.Domain, w.Region, w.Cores, w.Memory>>30, w.Accels, w.Kind, w.Speed)
+	}
+	return t
+}
--- a/cmd/knapd/config.go
+++ b/cmd/knapd/config.go
@@ -20,7 +20,7 @@
 		Short:   "Print every setting with its default",
 		Long:    configHelp,
 		Example: "  knapd config\n  knapd config --output json",
-		Args:    cobra.NoArgs,
+		Args:    noArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			list := kern.AllHelp(kern.Roles())
 			switch output {
--- a/cmd/knapd/main.go
+++ b/cmd/knapd/main.go
@@ -39,6 +39,8 @@
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
+	root.Args = noArgs
+	root.RunE = func(cmd *cobra.Command, _ []string) error { return cmd.Help() }
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
 		return fmt.Errorf("%w: %w", kern.ErrSettings, err)
 	})
@@ -53,3 +55,11 @@
 	}
 	return nil
 }
+
+// noArgs accepts no argument.
+func noArgs(_ *cobra.Command, args []string) error {
+	if len(args) != 0 {
+		return errors.Wrapf(kern.ErrSettings, "unexpected argument %q", args[0])
+	}
+	return nil
+}
--- a/cmd/knapd/version.go
+++ b/cmd/knapd/version.go
@@ -16,7 +16,7 @@
 		Use:   "version",
 		Short: "Print the version",
 		Long:  versionHelp,
-		Args:  cobra.NoArgs,
+		Args:  noArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			fmt.Fprintln(cmd.OutOrStdout(), "knapd", kern.Version())
 			for _, r := range kern.Roles() {
--- /dev/null
+++ b/internal/kern/export_test.go
@@ -0,0 +1,4 @@
+package kern
+
+// WithSignals serves a daemon that obeys signals.
+var WithSignals = withSignals
