Keep a repeated POST /drain from cutting running work off

Cause: a second request to stop cut the drain short, meant for a second signal; an operator who sends POST /drain again after a lost answer would have cut requests. TestDrainRequestTwice failed on it (the listener went away: EOF). Change: Stop is idempotent; only a second signal aborts. Also a test that a client with a slow header is dropped while others are served.

--- a/internal/kern/daemon.go
+++ b/internal/kern/daemon.go
@@ -31,7 +31,10 @@
 	log     *zap.Logger
 	level   zap.AtomicLevel
 	started time.Time
-	stop    chan struct{}
+	stop    func() // closes stopped
+	stopped chan struct{}
+	abort   func() // closes aborted
+	aborted chan struct{}
 
 	mu       sync.Mutex
 	parts    []part
@@ -44,7 +47,13 @@
 	level := zap.NewAtomicLevel()
 	_ = level.UnmarshalText([]byte(cfg.Log.Level)) // Load has checked it
 	log := NewLogger(w, level).With(zap.String("node", cfg.Node.Name))
-	return &Daemon{cfg: cfg, roles: roles, clock: clock, log: log, level: level, started: clock.Now(), stop: make(chan struct{}, 1)}
+	d := &Daemon{
+		cfg: cfg, roles: roles, clock: clock, log: log, level: level, started: clock.Now(),
+		stopped: make(chan struct{}), aborted: make(chan struct{}),
+	}
+	d.stop = sync.OnceFunc(func() { close(d.stopped) })
+	d.abort = sync.OnceFunc(func() { close(d.aborted) })
+	return d
 }
 
 // Run runs the registered roles that cfg names and logs to standard error. It
@@ -55,12 +64,13 @@
 	return withSignals(ctx, d)
 }
 
-// Stop asks for a graceful stop.
-func (d *Daemon) Stop() {
-	select {
-	case d.stop <- struct{}{}:
-	default:
-	}
+// Stop asks for a graceful stop. Asking again changes nothing.
+func (d *Daemon) Stop() { d.stop() }
+
+// Abort cuts a graceful stop short.
+func (d *Daemon) Abort() {
+	d.stop()
+	d.abort()
 }
 
 // State says whether the daemon takes work.
@@ -195,7 +205,7 @@
 	select {
 	case <-ctx.Done():
 		return nil
-	case <-d.stop:
+	case <-d.stopped:
 		return nil
 	case err := <-failed:
 		d.log.Error("role failed", zap.Error(err))
@@ -203,8 +213,8 @@
 	}
 }
 
-// drain asks every role to finish its work by the deadline. A second request to
-// stop cuts it short.
+// drain asks every role to finish its work by the deadline. Abort cuts it
+// short.
 func (d *Daemon) drain(ctx context.Context) error {
 	deadline := time.Now().Add(time.Duration(d.cfg.Drain.Seconds) * time.Second)
 	d.mu.Lock()
@@ -232,7 +242,7 @@
 	select {
 	case <-done:
 	case <-ctx.Done():
-	case <-d.stop:
+	case <-d.aborted:
 		cancel()
 	}
 	return waitWithin(&watch, closeWithin)
--- a/internal/kern/daemon_test.go
+++ b/internal/kern/daemon_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -170,13 +171,29 @@
 	require.Equal(t, []string{"run", "drain", "closed"}, role.seen())
 }
 
-func TestSecondStopCutsDrainShort(t *testing.T) {
+// A request to drain that is sent again, after a lost answer, cuts nothing off.
+func TestDrainRequestTwice(t *testing.T) {
+	role := &echoRole{work: make(chan struct{})}
+	run := start(t, role, func(s string) string { return strings.Replace(s, `"seconds": 1`, `"seconds": 600`, 1) })
+	for range 5 {
+		status, _ := run.get(http.MethodPost, "/drain", token(), "")
+		require.Equal(t, http.StatusAccepted, status)
+	}
+	require.Eventually(t, func() bool { return len(role.seen()) > 1 }, 5*time.Second, time.Millisecond)
+	status, _ := run.get(http.MethodPost, "/drain", token(), "")
+	require.Equal(t, http.StatusAccepted, status)
+	close(role.work)
+	require.NoError(t, run.group.Wait())
+	require.Contains(t, role.seen(), "drained")
+}
+
+func TestAbortCutsDrainShort(t *testing.T) {
 	role := &echoRole{work: make(chan struct{})}
 	run := start(t, role, func(s string) string { return strings.Replace(s, `"seconds": 1`, `"seconds": 600`, 1) })
 	run.get(http.MethodGet, "/healthz", "", "")
 	run.daemon.Stop()
 	require.Eventually(t, func() bool { return run.daemon.State() == kern.StateDraining }, 5*time.Second, time.Millisecond)
-	run.daemon.Stop()
+	run.daemon.Abort()
 	require.ErrorIs(t, run.group.Wait(), kern.ErrDrain)
 }
 
@@ -203,3 +220,23 @@
 	require.NotEqual(t, kern.DeriveKey(master, "agent-1"), kern.DeriveKey(master, "agent-2"))
 	require.NotEqual(t, kern.DeriveKey(master, "agent-1"), kern.DeriveKey([]byte("fedcba9876543210"), "agent-1"))
 }
+
+// A client that sends its header byte by byte is dropped and keeps nobody else
+// from being served.
+func TestAdminDropsSlowClient(t *testing.T) {
+	t.Parallel()
+	run := start(t, &echoRole{}, nil)
+	run.get(http.MethodGet, "/healthz", "", "")
+	c, err := net.Dial("tcp", run.daemon.Addr())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = c.Write([]byte("GET /dump HTTP/1.1\r\nHost: a\r\nAuthor"))
+	require.NoError(t, err)
+	status, _ := run.get(http.MethodGet, "/dump", token(), "")
+	require.Equal(t, http.StatusOK, status)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(20*time.Second)))
+	_, err = io.ReadAll(c)
+	require.NoError(t, err) // the server has closed it before the deadline
+	run.cancel()
+	require.NoError(t, run.group.Wait())
+}
--- a/internal/kern/signal.go
+++ b/internal/kern/signal.go
@@ -21,6 +21,7 @@
 		defer close(done)
 		return d.Serve(ctx)
 	})
+	stop := d.Stop
 	for {
 		select {
 		case <-done:
@@ -30,7 +31,8 @@
 				d.LogDump()
 				continue
 			}
-			d.Stop()
+			stop()
+			stop = d.Abort
 		}
 	}
 }
--- a/internal/kern/signal_test.go
+++ b/internal/kern/signal_test.go
@@ -13,9 +13,10 @@
 	"github.com/knapweedlug/knapweedlug/internal/kern"
 )
 
+// SIGUSR1 dumps, SIGTERM drains, a second SIGTERM cuts the drain short.
 func TestSignals(t *testing.T) {
-	role := &echoRole{}
-	cfg, _, err := kern.Parse([]byte(settings(`{}`)), []kern.Role{role})
+	role := &echoRole{work: make(chan struct{})}
+	cfg, _, err := kern.Parse([]byte(strings.Replace(settings(`{}`), `"seconds": 1`, `"seconds": 600`, 1)), []kern.Role{role})
 	require.NoError(t, err)
 	log := &buffer{}
 	d := kern.New(cfg, []kern.Role{role}, fixedClock{}, log)
@@ -26,6 +27,8 @@
 	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGUSR1))
 	require.Eventually(t, func() bool { return strings.Contains(log.String(), `"msg":"dump"`) }, 5*time.Second, time.Millisecond)
 	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
-	require.NoError(t, g.Wait())
-	require.Contains(t, role.seen(), "drain")
+	require.Eventually(t, func() bool { return len(role.seen()) == 2 }, 5*time.Second, time.Millisecond)
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	require.ErrorIs(t, g.Wait(), kern.ErrDrain)
+	require.Equal(t, []string{"run", "drain", "closed"}, role.seen())
 }
