--- a/internal/contrl/reports.go
+++ b/internal/contrl/reports.go
@@ -13,7 +13,18 @@
 	if !ok {
 		return nil, missing("job", call.args[0])
 	}
-	return client.Explanation{Job: j.Job, Reason: j.Reason}, nil
+	l := call.lead
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.sched.Explain(j.ID, call.c.env.Clock.Now())
+	out := client.Explanation{Job: j.Job, Reason: e.Reason, Needs: e.Needs, Earliest: e.Earliest}
+	if j.State.Ended() {
+		out.Reason = j.Reason
+	}
+	for _, id := range e.Blockers {
+		out.Blockers = append(out.Blockers, client.Blocker{What: "job " + id, Why: "holds what this job needs"})
+	}
+	return out, nil
 }
 
 // apiGuarantees reports how each guarantee stands, witness included.
@@ -43,4 +54,7 @@
 }
 
 // judge asks the scheduler about operations. The caller holds the lock.
-func (l *lead) judge(_ []model.Op) state.Verdict { return state.Verdict{} }
+func (l *lead) judge(ops []model.Op) state.Verdict {
+	r := l.sched.Check(ops, l.c.env.Clock.Now())
+	return state.Verdict{Preempts: r.Preempts, Touches: r.Touches, Refusals: r.Refusals}
+}
--- /dev/null
+++ b/internal/kern/signal_test.go
@@ -0,0 +1,34 @@
+package kern_test
+
+import (
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/knapweedlug/knapweedlug/internal/kern"
+)
+
+// SIGUSR1 dumps, SIGTERM drains, a second SIGTERM cuts the drain short.
+func TestSignals(t *testing.T) {
+	role := &echoRole{work: make(chan struct{})}
+	cfg, _, err := kern.Parse([]byte(strings.Replace(settings(`{}`), `"seconds": 1`, `"seconds": 600`, 1)), []kern.Role{role})
+	require.NoError(t, err)
+	log := &buffer{}
+	d := kern.New(cfg, []kern.Role{role}, fixedClock{}, log)
+	var g errgroup.Group
+	g.Go(func() error { return kern.WithSignals(t.Context(), d) })
+	// The daemon asks for signals before it opens its listener.
+	require.Eventually(t, func() bool { return d.Addr() != "" }, 5*time.Second, time.Millisecond)
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGUSR1))
+	require.Eventually(t, func() bool { return strings.Contains(log.String(), `"msg":"dump"`) }, 5*time.Second, time.Millisecond)
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	require.Eventually(t, func() bool { return len(role.seen()) == 2 }, 5*time.Second, time.Millisecond)
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	require.ErrorIs(t, g.Wait(), kern.ErrDrain)
+	require.Equal(t, []string{"run", "drain", "closed"}, role.seen())
+}
--- a/internal/state/report.go
+++ b/internal/state/report.go
@@ -71,8 +71,11 @@
 		fresh[j.ID] = true
 	}
 	j.Status[m.Member] = m.State
-	if m.State == MemberFailed && m.Reason != "" {
-		j.Reason = m.Reason
+	if m.State == MemberFailed {
+		j.FailedOn = append(slices.Clone(j.FailedOn), j.Members[m.Member].Worker)
+		if m.Reason != "" {
+			j.Reason = m.Reason
+		}
 	}
 	d.putJob(j)
 	return nil
--- a/internal/state/stage.go
+++ b/internal/state/stage.go
@@ -15,6 +15,10 @@
 	if !g.take(checkFields(field, *j)) || !g.take(checkRuntime(field, *j)) {
 		return
 	}
+	if j.Stoppable && !j.Idempotent {
+		g.refuse(field+".stoppable", "true", "needs idempotent, since a job that was stopped runs again from its checkpoint")
+		return
+	}
 	team, ok := g.config.Team(j.Team)
 	if !ok {
 		g.refuse(field+".team", j.Team, "is not a team")
@@ -57,6 +61,8 @@
 		return []model.Refusal{refuse(field+".members", len(j.Members), why)}
 	case j.Attempts != 0:
 		return []model.Refusal{refuse(field+".attempts", j.Attempts, why)}
+	case len(j.FailedOn) > 0:
+		return []model.Refusal{refuse(field+".failedon", len(j.FailedOn), why)}
 	case j.Borrowed:
 		return []model.Refusal{refuse(field+".borrowed", j.Borrowed, why)}
 	case j.Reason != "":
--- a/pkg/client/error.go
+++ b/pkg/client/error.go
@@ -65,6 +65,11 @@
 	CodeDeadline:    {ErrDeadline, http.StatusGatewayTimeout},
 	CodeUnavailable: {ErrUnavailable, http.StatusServiceUnavailable},
 	CodeInternal:    {ErrInternal, http.StatusInternalServerError},
+	CodeStale:       {ErrUnavailable, http.StatusServiceUnavailable},
+	CodeDraining:    {ErrUnavailable, http.StatusServiceUnavailable},
+	CodeLost:        {ErrUnknown, http.StatusBadGateway},
+	CodeCut:         {ErrUnknown, http.StatusBadGateway},
+	CodeRunning:     {ErrUnknown, http.StatusBadGateway},
 }
 
 // Status returns the HTTP status of an error answer with this code.
