e2e: failure tests of the control processes

Leader killed three times under a stream of changes, leader frozen past every lease, disk lost and repaired with a second host killed at once, 1,000 changes missed, operators racing with identical numbers.

--- /dev/null
+++ b/internal/e2e/control_test.go
@@ -0,0 +1,307 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/knapweedlug/knapweedlug/pkg/client"
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+// controlOnly is a cluster without backend servers.
+var controlOnly = size{controls: 3, entries: 2, agents: 0, workers: 1}
+
+// leader returns the index of the leading control process.
+func (c *cluster) leader() int {
+	c.t.Helper()
+	at := -1
+	poll(c.t, 10*time.Second, "a leader is known", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		list, err := c.op.Members(ctx)
+		if err != nil {
+			return false
+		}
+		for _, m := range list.Members {
+			if m.Role == client.MemberLeader {
+				_, err := fmt.Sscanf(m.Name, "ctl%d", &at)
+				at--
+				return err == nil
+			}
+		}
+		return false
+	})
+	return at
+}
+
+// team returns a team that no other change touches.
+func team(name string) model.Op {
+	return model.Op{Kind: model.OpSetTeam, Team: &model.Team{Name: name, Weight: 1}}
+}
+
+// change commits one change and returns its plan; it asks again until it gets
+// an answer.
+func (c *cluster) change(name string, within time.Duration) (model.Plan, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	in := model.Intent{ID: uuid.NewString(), Ops: []model.Op{team(name)}}
+	for {
+		p, err := c.op.Propose(ctx, in)
+		if err == nil {
+			p, err = c.op.Confirm(ctx, p.ID)
+		}
+		if err == nil && p.State == model.PlanConflict {
+			in.ID = uuid.NewString()
+			continue
+		}
+		if err == nil || ctx.Err() != nil {
+			return p, err
+		}
+	}
+}
+
+// changes commits changes one after the other until stop is closed and returns
+// the names that were acknowledged and the longest time for one.
+type changes struct {
+	group   errgroup.Group
+	stop    chan struct{}
+	mu      sync.Mutex
+	acked   []string
+	longest time.Duration
+}
+
+func (c *cluster) startChanges(prefix string) *changes {
+	ch := &changes{stop: make(chan struct{})}
+	ch.group.Go(func() error {
+		for n := 0; ; n++ {
+			select {
+			case <-ch.stop:
+				return nil
+			default:
+			}
+			name := fmt.Sprintf("%s%d", prefix, n)
+			began := time.Now()
+			if _, err := c.change(name, 15*time.Second); err != nil {
+				return err
+			}
+			ch.mu.Lock()
+			ch.acked = append(ch.acked, name)
+			ch.longest = max(ch.longest, time.Since(began))
+			ch.mu.Unlock()
+		}
+	})
+	return ch
+}
+
+func (ch *changes) end(t *testing.T) []string {
+	t.Helper()
+	close(ch.stop)
+	require.NoError(t, ch.group.Wait())
+	return ch.acked
+}
+
+// requireTeams checks that no acknowledged change was lost.
+func (c *cluster) requireTeams(names []string) {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	list, err := c.op.Teams(ctx)
+	require.NoError(c.t, err)
+	held := map[string]bool{}
+	for _, t := range list.Teams {
+		held[t.Name] = true
+	}
+	for _, n := range names {
+		require.True(c.t, held[n], "acknowledged team %s is lost", n)
+	}
+}
+
+// TestLeaderKilled kills the leader with SIGKILL, again and again, under a
+// stream of changes.
+func TestLeaderKilled(t *testing.T) {
+	c := newCluster(t, controlOnly)
+	c.await()
+	ch := c.startChanges("t")
+	for range 3 {
+		time.Sleep(500 * time.Millisecond)
+		at := c.leader()
+		c.controls[at].kill()
+		time.Sleep(2500 * time.Millisecond)
+		c.controls[at].start()
+		time.Sleep(time.Second)
+	}
+	acked := ch.end(t)
+	require.NotEmpty(t, acked)
+	c.requireTeams(acked)
+	t.Logf("%d changes acknowledged, longest %s", len(acked), ch.longest)
+	require.Less(t, ch.longest, 5*time.Second)
+}
+
+// TestLeaderFrozen freezes the leader past every lease and lets it go on: it
+// must answer nothing that it knew before.
+func TestLeaderFrozen(t *testing.T) {
+	c := newCluster(t, controlOnly)
+	c.await()
+	_, err := c.change("before", 10*time.Second)
+	require.NoError(t, err)
+	at := c.leader()
+	old, err := client.NewOperator([]string{"http://" + c.apiAddr[at]}, operatorName, operatorKey, &http.Client{})
+	require.NoError(t, err)
+	c.controls[at].freeze()
+	after, err := c.change("after", 15*time.Second)
+	require.NoError(t, err)
+	time.Sleep(6 * time.Second)
+	c.controls[at].thaw()
+	answered := 0
+	poll(t, 10*time.Second, "the former leader answers again", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+		defer cancel()
+		cfg, err := old.Config(ctx)
+		if err != nil {
+			return false
+		}
+		require.GreaterOrEqual(t, cfg.Revision, after.Revision, "the former leader answered an old revision")
+		answered++
+		return answered >= 20
+	})
+	c.requireTeams([]string{"before", "after"})
+}
+
+// TestDiskLost wipes one control host's disk, repairs it while the system
+// runs, and kills another host at once when the repair is said to be done.
+func TestDiskLost(t *testing.T) {
+	c := newCluster(t, controlOnly)
+	c.await()
+	ch := c.startChanges("t")
+	time.Sleep(time.Second)
+	leader := c.leader()
+	lost, next := (leader+1)%3, (leader+2)%3
+	name := fmt.Sprintf("ctl%d", lost+1)
+	c.controls[lost].kill()
+	require.NoError(t, os.RemoveAll(filepath.Join(c.dir, name)))
+	c.controls[lost].start()
+	c.awaitMember(name, func(m client.Member) bool { return m.Role == client.MemberWaiting })
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	_, err := c.op.ChangeMembers(ctx, client.MemberChange{ID: uuid.NewString(), Operator: operatorName, Verb: client.MemberReplace, Name: name, With: name})
+	require.NoError(t, err)
+	c.awaitMember(name, func(m client.Member) bool { return m.Repair == client.RepairDone && m.Role == client.MemberFollower })
+	c.controls[next].kill()
+	_, err = c.change("after-the-second-loss", 10*time.Second)
+	require.NoError(t, err)
+	acked := ch.end(t)
+	c.requireTeams(append(acked, "after-the-second-loss"))
+	// Now the repaired host and the one that survived are all there is.
+	c.controls[leader].kill()
+	c.controls[next].start()
+	c.requireTeams(acked)
+}
+
+// awaitMember waits until a replica of that name is as wanted.
+func (c *cluster) awaitMember(name string, is func(client.Member) bool) {
+	c.t.Helper()
+	var last client.MemberList
+	defer func() {
+		if c.t.Failed() {
+			c.t.Logf("members: %+v", last)
+		}
+	}()
+	poll(c.t, 20*time.Second, "member "+name, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		list, err := c.op.Members(ctx)
+		if err != nil {
+			return false
+		}
+		last = list
+		for _, m := range list.Members {
+			if m.Name == name && is(m) {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// TestManyChangesMissed keeps one control process down for 1,000 changes and
+// then makes it count: with another one killed it is needed for the quorum.
+func TestManyChangesMissed(t *testing.T) {
+	c := newCluster(t, controlOnly)
+	c.await()
+	leader := c.leader()
+	late, other := (leader+1)%3, (leader+2)%3
+	c.controls[late].kill()
+	var g errgroup.Group
+	for i := range 8 {
+		g.Go(func() error {
+			for n := range 125 {
+				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+				job := model.Job{ID: fmt.Sprintf("j-%d-%d", i, n), Team: "t0", Urgency: model.Normal, Command: "sleep 1h", EstimateMs: 1, Shape: model.Shape{Members: 1, Cores: 1, Accels: 1, Near: model.NearWorker}}
+				_, err := c.op.Propose(ctx, model.Intent{ID: job.ID, Ops: []model.Op{{Kind: model.OpSubmitJob, Job: &job}}})
+				cancel()
+				if err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+	require.NoError(t, g.Wait())
+	_, err := c.change("last", 10*time.Second)
+	require.NoError(t, err)
+	c.controls[late].start()
+	c.controls[other].kill()
+	_, err = c.change("with-the-late-one", 15*time.Second)
+	require.NoError(t, err)
+	c.requireTeams([]string{"last", "with-the-late-one"})
+}
+
+// TestOperatorsRace lets two operators plan the same change against the same
+// revision: one wins, the other is told so, and a resend gets the same answer.
+func TestOperatorsRace(t *testing.T) {
+	c := newCluster(t, controlOnly)
+	c.await()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	in := func(id string, weight int) model.Intent {
+		return model.Intent{ID: id, Ops: []model.Op{{Kind: model.OpSetTeam, Team: &model.Team{Name: "linen", Weight: weight}}}}
+	}
+	var plans [2]model.Plan
+	for i := range plans {
+		p, err := c.op.Propose(ctx, in(fmt.Sprint("race-", i), 5))
+		require.NoError(t, err)
+		plans[i] = p
+	}
+	var g errgroup.Group
+	for i := range plans {
+		g.Go(func() error {
+			p, err := c.op.Confirm(ctx, plans[i].ID)
+			plans[i] = p
+			return err
+		})
+	}
+	require.NoError(t, g.Wait())
+	states := map[model.PlanState]int{plans[0].State: 1}
+	states[plans[1].State]++
+	require.Equal(t, map[model.PlanState]int{model.PlanConfirmed: 1, model.PlanConflict: 1}, states)
+	other, err := client.NewOperator([]string{"http://" + c.callAddr[1]}, operatorName, operatorKey, &http.Client{})
+	require.NoError(t, err)
+	for i := range plans {
+		again, err := other.Propose(ctx, in(fmt.Sprint("race-", i), 5))
+		require.NoError(t, err)
+		require.Equal(t, plans[i].ID, again.ID)
+		require.Equal(t, plans[i].State, again.State)
+	}
+	_, err = other.Propose(ctx, in("race-0", 6))
+	require.ErrorIs(t, err, client.ErrConflict)
+}
