--- /dev/null
+++ b/internal/e2e/silent_test.go
@@ -0,0 +1,118 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedlug/knapweedlug/internal/fakes"
+	"github.com/knapweedlug/knapweedlug/pkg/client"
+)
+
+// forceBound is within how many seconds an accepted configuration is in force.
+const forceBound = 5 * time.Second
+
+// TestControlSilent cuts one control process off from the others for long,
+// with connections that stay open and silent. Entries and agents still reach
+// it. Every change must be in force at each of them within the bound, and the
+// one cut off must answer nothing old.
+func TestControlSilent(t *testing.T) {
+	sz := small
+	sz.cutoff = 3
+	c := ready(t, sz)
+	cut, err := client.NewOperator([]string{"http://" + c.apiAddr[2]}, operatorName, operatorKey, &http.Client{})
+	require.NoError(t, err)
+	c.setRelays(fakes.ModeSilent)
+	for n := range 4 {
+		plan, err := c.change(fmt.Sprint("silent", n), 15*time.Second)
+		require.NoError(t, err)
+		c.requireInForce(plan.Revision, time.Now().Add(forceBound))
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		if cfg, err := cut.Config(ctx); err == nil {
+			require.GreaterOrEqual(t, cfg.Revision, plan.Revision, "the control process that is cut off answered an old revision")
+		}
+		cancel()
+		requireAnswer(t, ask{body: "x"}, c.call(n%2, ask{body: "x", ms: 1}))
+	}
+	c.setRelays(fakes.ModePass)
+	plan, err := c.change("healed", 15*time.Second)
+	require.NoError(t, err)
+	pollUntil(t, 10*time.Second, "the control process catches up", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		cfg, err := cut.Config(ctx)
+		return err == nil && cfg.Revision >= plan.Revision
+	})
+}
+
+// requireInForce checks that each entry and agent holds a revision, or takes
+// no work, from a deadline on.
+func (c *cluster) requireInForce(revision uint64, deadline time.Time) {
+	c.t.Helper()
+	pollUntil(c.t, time.Until(deadline), fmt.Sprintf("revision %d is in force", revision), func() bool {
+		for i := range c.entries {
+			if e := c.entryDump(fmt.Sprintf("ent%d", i+1)); e.Fresh && e.Revision < revision {
+				return false
+			}
+		}
+		for i := range c.agents {
+			if a := c.agentDump(fmt.Sprintf("agt%d", i+1)); a.Fresh && a.Revision < revision {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// agentState is what the tests read of an agent's dump.
+type agentState struct {
+	Revision uint64 `json:"revision"`
+	Fresh    bool   `json:"fresh"`
+	State    string `json:"state"`
+}
+
+func (c *cluster) agentDump(name string) agentState {
+	var d struct {
+		Roles struct {
+			Agent agentState `json:"agent"`
+		} `json:"roles"`
+	}
+	c.dump("agent", name, &d)
+	return d.Roles.Agent
+}
+
+// TestConnectionsSilent makes every connection between agents and entries
+// silent for good while new ones work, twice, under load. The loss must be
+// found and mended within 2 s and nothing non-idempotent may run twice.
+func TestConnectionsSilent(t *testing.T) {
+	sz := small
+	sz.relayed = true
+	c := ready(t, sz)
+	l := c.startLoad(6, true)
+	for range 2 {
+		time.Sleep(500 * time.Millisecond)
+		for _, r := range c.relays {
+			r.SilencePresent()
+		}
+		silenced := time.Now()
+		pollUntil(t, 2*time.Second+probeSlack, "requests are answered again", func() bool {
+			r := c.call(0, ask{ms: 1, body: "probe", within: 300 * time.Millisecond})
+			return r.err == nil && r.outcome == client.OutcomeAnswer
+		})
+		t.Logf("answered again after %s", time.Since(silenced).Round(time.Millisecond))
+	}
+	replies := l.end(t)
+	checkRuns(t, c, replies)
+	outcomes := map[client.Outcome]int{}
+	for _, r := range replies {
+		outcomes[r.outcome]++
+	}
+	t.Log(outcomes)
+}
+
+// probeSlack is what a probe request itself may take.
+const probeSlack = 500 * time.Millisecond
