--- a/internal/wire/dial.go
+++ b/internal/wire/dial.go
@@ -111,7 +111,7 @@
 		return l.sess, nil
 	}
 	if l.err != nil {
-		return nil, errors.Mark(errors.Wrapf(l.err, "no session to %s", l.addr), ErrClosed)
+		return nil, closed(errors.Wrapf(l.err, "no session to %s", l.addr))
 	}
 	return nil, errors.Wrapf(ErrClosed, "no session to %s yet", l.addr)
 }
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -85,7 +85,7 @@
 	for {
 		ys, err := s.mux.AcceptStream()
 		if err != nil {
-			return errors.Mark(err, ErrClosed)
+			return closed(err)
 		}
 		st := &Stream{Stream: ys, peer: s.peer}
 		g.Go(func() error {
--- a/internal/wire/sess.go
+++ b/internal/wire/sess.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"time"
@@ -29,6 +30,9 @@
 	ErrRemote    = errors.New("remote error")
 )
 
+// closed tells that err means the loss of a session.
+func closed(err error) error { return fmt.Errorf("%w: %w", ErrClosed, err) }
+
 // Session is a connection to one peer that carries many streams both ways.
 type Session struct {
 	peer Peer
@@ -97,7 +101,7 @@
 func (s *Session) Open(ctx context.Context, method, id string) (*Stream, error) {
 	ys, err := s.mux.OpenStream()
 	if err != nil {
-		return nil, errors.Mark(errors.Wrapf(err, "open %s to %s", method, s.peer.Name), ErrClosed)
+		return nil, closed(errors.Wrapf(err, "open %s to %s", method, s.peer.Name))
 	}
 	st := &Stream{Stream: ys, peer: s.peer}
 	call := &Call{Method: method, Id: id}
@@ -163,13 +167,13 @@
 func (st *Stream) readReply(resp proto.Message) error {
 	var rep Reply
 	if err := st.Recv(&rep); err != nil {
-		return errors.Mark(err, ErrClosed)
+		return closed(err)
 	}
 	if rep.Code != "" {
 		return &RemoteError{Code: rep.Code, Text: rep.Text, Leader: rep.Leader}
 	}
 	if err := st.Recv(resp); err != nil {
-		return errors.Mark(err, ErrClosed)
+		return closed(err)
 	}
 	return nil
 }
