--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -54,7 +54,7 @@
 
 // cluster is a whole deployment on loopback.
 type cluster struct {
-	t        *testing.T
+	t        testing.TB
 	dir      string
 	size     size
 	platform *proc
@@ -76,7 +76,7 @@
 
 func domain(i int) string { return []string{"a", "b", "c"}[i%3] }
 
-func newCluster(t *testing.T, sz size) *cluster {
+func newCluster(t testing.TB, sz size) *cluster {
 	t.Helper()
 	c := &cluster{t: t, dir: t.TempDir(), size: sz, admin: map[string]string{}}
 	c.platform = run(t, "platform", "knapfake", "platform", "--workers", fmt.Sprint(sz.workers))
@@ -145,7 +145,7 @@
 		"cluster": "demo",
 		"node":    map[string]any{"name": name, "domain": domain(i), "region": "pl"},
 		"admin":   map[string]any{"listen": admin},
-		"log":     map[string]any{"level": "debug"},
+		"log":     map[string]any{"level": c.logLevel()},
 		"drain":   map[string]any{"seconds": 20},
 		"keys":    map[string]any{"self": hex.EncodeToString(kern.DeriveKey(key, name)), "roles": masters},
 		"roles":   map[string]any{role: settings},
@@ -261,7 +261,7 @@
 	_ = json.NewDecoder(resp.Body).Decode(into)
 }
 
-func getJSON(t *testing.T, url, key string, into any) {
+func getJSON(t testing.TB, url, key string, into any) {
 	t.Helper()
 	req, err := http.NewRequest(http.MethodGet, url, nil)
 	require.NoError(t, err)
@@ -325,7 +325,7 @@
 	return all
 }
 
-func putJSON(t *testing.T, url string, body any) {
+func putJSON(t testing.TB, url string, body any) {
 	t.Helper()
 	data, err := json.Marshal(body)
 	require.NoError(t, err)
@@ -362,3 +362,12 @@
 		require.NoError(c.t, r.SetMode(m))
 	}
 }
+
+// logLevel is what a deployment uses, but for tests, where a failure's trace
+// is worth more.
+func (c *cluster) logLevel() string {
+	if _, ok := c.t.(*testing.B); ok {
+		return "info"
+	}
+	return "debug"
+}
--- a/internal/e2e/proc_test.go
+++ b/internal/e2e/proc_test.go
@@ -54,7 +54,7 @@
 
 // proc is one running process.
 type proc struct {
-	t    *testing.T
+	t    testing.TB
 	name string
 	args []string
 	log  *syncBuffer
@@ -81,7 +81,7 @@
 }
 
 // run starts a program and ends it with the test.
-func run(t *testing.T, name, program string, args ...string) *proc {
+func run(t testing.TB, name, program string, args ...string) *proc {
 	t.Helper()
 	dir, err := buildOnce()
 	require.NoError(t, err)
@@ -162,7 +162,7 @@
 }
 
 // pollUntil waits until cond holds.
-func pollUntil(t *testing.T, within time.Duration, what string, cond func() bool) {
+func pollUntil(t testing.TB, within time.Duration, what string, cond func() bool) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
@@ -185,7 +185,7 @@
 )
 
 // freePort returns a loopback address that nobody listens on.
-func freePort(t *testing.T) string {
+func freePort(t testing.TB) string {
 	t.Helper()
 	for range portRange {
 		n := (nextPort.Add(1) + int64(os.Getpid())*61) % portRange
