--- a/internal/admit/learn.go
+++ b/internal/admit/learn.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"math"
 	"math/bits"
 	"time"
 )
@@ -10,6 +11,7 @@
 	sizeGain    = 0.05 // weight of a new sample
 	minSamples  = 8    // samples after which what is learned replaces what is declared
 	longShare   = 0.5  // a kind of request is long if more than this share of it is
+	minSeconds  = 1e-6 // shortest run time that is told apart
 	spreadLimit = 1.0  // deviations added to the mean for the planned run time
 )
 
@@ -27,6 +29,7 @@
 	mean  float64
 	dev   float64 // mean absolute deviation
 	pLong float64 // share that ran longer than the short limit
+	log   float64 // mean natural logarithm
 }
 
 func (s *sizeStat) add(seconds float64, long bool) {
@@ -35,6 +38,7 @@
 	diff := seconds - s.mean
 	s.mean += gain * diff
 	s.dev += gain * (abs(diff) - s.dev)
+	s.log += gain * (math.Log(max(seconds, minSeconds)) - s.log)
 	sample := 0.0
 	if long {
 		sample = 1
@@ -86,6 +90,18 @@
 	return declared(r, shortLimit)
 }
 
+// typical returns the geometric mean of the run times of the request's kind in
+// seconds, or 0 if it isn't known yet. Unlike the mean it isn't moved by a few
+// stragglers.
+func (s *sizes) typical(r Request) float64 {
+	for _, key := range sizeKeys(r) {
+		if st := s.stats[key]; st != nil && st.n >= minSamples {
+			return math.Exp(st.log)
+		}
+	}
+	return 0
+}
+
 func declared(r Request, shortLimit time.Duration) (c Class, mean, planned float64) {
 	size := time.Duration(r.SizeMs) * time.Millisecond
 	switch {
--- a/internal/admit/ledger.go
+++ b/internal/admit/ledger.go
@@ -33,14 +33,12 @@
 	l.live--
 }
 
-// ahead returns the work, in seconds, that is served before a new request.
+// ahead returns the work of a class, in seconds, that is served before a new
+// request of the class.
 func (l *ledger) ahead(level int, c Class) float64 {
 	sum := 0.0
 	for i := 0; i <= level; i++ {
-		sum += l.lines[i][0].work
-		if c == Long {
-			sum += l.lines[i][1].work
-		}
+		sum += l.lines[i][classIndex(c)].work
 	}
 	return sum
 }
--- a/internal/admit/line.go
+++ b/internal/admit/line.go
@@ -132,4 +132,19 @@
 	return !now.Add(extra).After(it.start)
 }
 
+// Constants of the wait for a faster slot.
+const (
+	slowSlot     = 1.05 // time relative to the mean from which a slot is slow
+	patienceGain = 1.0  // part of what a slow slot costs that is spent waiting
+)
+
+// waitsFor reports whether the request does better to wait for a faster slot.
+func (it *item) waitsFor(slot Slot, now time.Time) bool {
+	if slot.Slow < slowSlot {
+		return false
+	}
+	cost := seconds(it.mean * (slot.Slow - 1) * patienceGain)
+	return now.Sub(it.r.Arrived) < cost
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/admit/options.go
+++ b/internal/admit/options.go
@@ -6,6 +6,7 @@
 type Options struct {
 	MaxQueued int           // requests that one team may have queued for one service
 	Margin    time.Duration // time kept free before a deadline for sending and the answer
+	WaitShare float64       // part of the time before the latest start that may be spent queued
 	LongWait  time.Duration // a long request that has waited this long goes before short ones
 }
 
@@ -17,6 +18,9 @@
 	if o.Margin == 0 {
 		o.Margin = 5 * time.Millisecond
 	}
+	if o.WaitShare == 0 {
+		o.WaitShare = 0.25
+	}
 	if o.LongWait == 0 {
 		o.LongWait = 10 * time.Second
 	}
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -84,7 +84,9 @@
 		return
 	}
 	s.slots = slots
-	s.drain.rate = float64(slots) / float64(max(1, entries))
+	for class := range s.drains {
+		s.drains[class].rate = float64(slots) / float64(max(1, entries))
+	}
 }
 
 // SetElsewhere tells how many slots the team uses through other entries.
@@ -137,9 +139,10 @@
 	if slack < 0 {
 		return refuse(ErrDeadlineTooSoon, "deadline", it.r.Deadline.Sub(now).String())
 	}
-	rate := s.rate(l)
+	rate := s.rate(l, it.r.Class)
 	wait := seconds(l.ahead(it.level, it.r.Class) / rate)
 	full := l.live >= q.opt.MaxQueued
+	slack = time.Duration(float64(slack) * q.opt.WaitShare)
 	if wait <= slack && !full {
 		return nil
 	}
@@ -176,8 +179,8 @@
 			q.expire(s, l, it, now)
 			continue
 		}
+		s.drains[classIndex(it.r.Class)].popped(it.mean, now)
 		s.remove(l, it, now)
-		s.drain.popped(it.mean, now)
 		delete(q.queued, it.r.ID)
 		q.running[it.r.ID] = sent{r: it.r, acct: l.acct}
 		l.acct.running++
@@ -292,15 +295,9 @@
 	return true
 }
 
-// Expected returns the run time that is expected of a request.
-func (q *Queue) Expected(r Request) time.Duration {
-	s := q.services[r.Service]
-	if s == nil {
-		return 0
-	}
-	_, mean, _ := q.sizes.judge(r, s.shortLimit())
-	return seconds(mean)
-}
+// Expected returns the typical run time of requests of this kind at the mean
+// speed of the fleet, or 0 if it isn't known yet.
+func (q *Queue) Expected(r Request) time.Duration { return seconds(q.sizes.typical(r)) }
 
 // Len returns the number of queued requests.
 func (q *Queue) Len() int { return len(q.queued) }
--- a/internal/admit/rate.go
+++ b/internal/admit/rate.go
@@ -8,8 +8,8 @@
 	rateGain   = 0.3
 )
 
-// drainRate measures how fast a queue hands out work while it isn't empty, in
-// seconds of work per second.
+// drainRate measures how fast a queue hands out the work of one class while any
+// is queued, in seconds of work per second.
 type drainRate struct {
 	rate  float64
 	since time.Time // start of the window; zero while the queue is empty
--- a/internal/admit/refusal.go
+++ b/internal/admit/refusal.go
@@ -11,7 +11,7 @@
 var (
 	ErrDeadlinePast    = errors.New("the deadline has passed")
 	ErrDeadlineTooSoon = errors.New("the request takes longer than its deadline allows")
-	ErrTooLate         = errors.New("the queue is too long to finish before the deadline")
+	ErrTooLate         = errors.New("the queue takes too much of the time before the deadline")
 	ErrQueueFull       = errors.New("the queue of the team is full")
 	ErrUnknownTeam     = errors.New("no such team")
 	ErrUnknownService  = errors.New("no such service")
--- a/internal/admit/service.go
+++ b/internal/admit/service.go
@@ -12,9 +12,9 @@
 	allowed map[string]bool // teams that may call it; nil means all
 	slots   int             // slots of the whole fleet
 	ledgers map[string]*ledger
-	active  []*ledger // those with queued requests
-	queued  int
-	drain   drainRate
+	active  []*ledger    // those with queued requests
+	queued  [2]int       // by class
+	drains  [2]drainRate // by class
 }
 
 func newService(conf model.Service) *service {
@@ -54,14 +54,18 @@
 		s.active = append(s.active, l)
 	}
 	l.push(it)
-	s.queued++
-	s.drain.backlog(s.queued, now)
+	s.count(it, 1, now)
 }
 
 func (s *service) remove(l *ledger, it *item, now time.Time) {
 	l.remove(it)
-	s.queued--
-	s.drain.backlog(s.queued, now)
+	s.count(it, -1, now)
+}
+
+func (s *service) count(it *item, n int, now time.Time) {
+	class := classIndex(it.r.Class)
+	s.queued[class] += n
+	s.drains[class].backlog(s.queued[class], now)
 }
 
 // sweep forgets teams that have nothing queued any more.
@@ -76,11 +80,24 @@
 	s.active = kept
 }
 
-// best returns the request that the slot should take next, with its ledger.
+// choice is a request that could be popped next, with its ledger.
+type choice struct {
+	l    *ledger
+	it   *item
+	rank rank
+}
+
+func (c *choice) offer(l *ledger, it *item, longBefore time.Time) {
+	if r := rankOf(l, it, longBefore); c.it == nil || r.before(c.rank) {
+		*c = choice{l: l, it: it, rank: r}
+	}
+}
+
+// best returns the request that the slot should take next, with its ledger. A
+// slow slot goes to a team beyond its guarantee if there is one, while the
+// others wait for a faster slot for a moment.
 func (s *service) best(slot Slot, longBefore, now time.Time) (*ledger, *item) {
-	var first *ledger
-	var found *item
-	var rank rank
+	var first, patient choice
 	idle := false
 	for _, l := range s.active {
 		if l.live == 0 {
@@ -88,30 +105,43 @@
 			continue
 		}
 		it := l.best(slot, longBefore, now)
-		if it == nil {
-			continue
-		}
-		if r := rankOf(l, it); found == nil || r.before(rank) {
-			first, found, rank = l, it, r
+		switch {
+		case it == nil:
+		case l.acct.load() < 0 && it.waitsFor(slot, now):
+			patient.offer(l, it, longBefore)
+		default:
+			first.offer(l, it, longBefore)
 		}
 	}
 	if idle {
 		s.sweep()
 	}
-	return first, found
+	if first.it == nil || first.l.acct.load() < 0 {
+		first.merge(patient)
+	}
+	return first.l, first.it
+}
+
+// merge keeps the better of two choices.
+func (c *choice) merge(o choice) {
+	if o.it != nil && (c.it == nil || o.rank.before(c.rank)) {
+		*c = o
+	}
 }
 
 // rank orders the best requests of the teams.
 type rank struct {
 	borrowed bool
 	level    int
+	later    bool // a long request that hasn't waited for very long
 	load     float64
 	start    time.Time
 }
 
-func rankOf(l *ledger, it *item) rank {
+func rankOf(l *ledger, it *item, longBefore time.Time) rank {
 	load := l.acct.load()
-	return rank{borrowed: load >= 0, level: it.level, load: load, start: it.start}
+	later := it.r.Class == Long && !it.r.Arrived.Before(longBefore)
+	return rank{borrowed: load >= 0, level: it.level, later: later, load: load, start: it.start}
 }
 
 func (r rank) before(o rank) bool {
@@ -120,6 +150,8 @@
 		return !r.borrowed
 	case r.level != o.level:
 		return r.level < o.level
+	case r.later != o.later:
+		return o.later
 	case r.load != o.load:
 		return r.load < o.load
 	default:
@@ -127,9 +159,10 @@
 	}
 }
 
-// rate returns the work per second that the team may expect of the service: its
-// guaranteed part and its share by weight of what the others don't hold.
-func (s *service) rate(l *ledger) float64 {
+// rate returns the work of a class per second that the team may expect of the
+// service: its guaranteed part and its share by weight of what the others
+// don't hold.
+func (s *service) rate(l *ledger, c Class) float64 {
 	total := float64(max(1, s.slots))
 	free, weights, counted := total, 0.0, false
 	for _, other := range s.active {
@@ -145,5 +178,5 @@
 		weights += float64(l.acct.weight())
 	}
 	share := float64(l.acct.team.Slots) + max(0, free)*float64(l.acct.weight())/weights
-	return s.drain.rate * min(1, share/total)
+	return s.drains[classIndex(c)].rate * min(1, share/total)
 }
--- a/internal/load/scenes.go
+++ b/internal/load/scenes.go
@@ -46,7 +46,7 @@
 			{Name: "garden", Slots: 16, Weight: 2},
 			{Name: "studio", Slots: 8, Weight: 1},
 		},
-		Service: model.Service{Name: "design", ShortMs: 500, LimitMs: 600_000, Reserve: 1},
+		Service: model.Service{Name: "design", ShortMs: 500, LimitMs: 600_000, Reserve: 0},
 	}
 	rng := rand.New(rand.NewPCG(seed, 1))
 	rate := load * s.Capacity() / gradinkaMean()
--- a/internal/route/backend.go
+++ b/internal/route/backend.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"container/list"
 	"math"
 	"time"
 
@@ -9,9 +10,10 @@
 
 // Constants of what is learned about a backend server.
 const (
-	slowGain     = 0.1 // weight of a new sample
-	slowClip     = 2.0 // largest natural logarithm of a sample's ratio
-	failLimit    = 3   // failures in a row that suspend a backend server
+	slowGain     = 0.1  // weight of a new sample
+	firstSlow    = -0.7 // logarithm taken for a newcomer: hopeful, so that it is tried
+	slowClip     = 2.0  // largest natural logarithm of a sample's ratio
+	failLimit    = 3    // failures in a row that suspend a backend server
 	suspendLeast = time.Second
 	suspendMost  = 30 * time.Second
 	startCredit  = 1   // requests at once on a newcomer
@@ -26,12 +28,14 @@
 	any      []uint64
 	short    []uint64
 	inflight int
+	samples  int
 	limit    int // requests at once that slow start allows
 	fails    int // failures in a row
 	suspends int // suspensions in a row
 	until    time.Time
 	draining bool
-	listed   [2]bool // whether it is in the tree of reserved and of other credits
+	used     *list.Element // in the order of last use
+	listed   [2]bool       // whether it is in the tree of reserved and of other credits
 }
 
 func (b *backend) list(class admit.SlotClass) *[]uint64 {
@@ -46,9 +50,10 @@
 	return !b.draining && b.until.IsZero() && b.inflight < b.limit
 }
 
-// succeed learns from a whole answer and returns its run time at the speed
-// that is taken as the mean, given the mean logarithm of all backend servers.
-func (b *backend) succeed(r Result, mean float64) {
+// succeed learns from a whole answer. What is expected is itself learned from
+// run times brought to the mean speed, so the logarithms of all backend servers
+// settle around zero.
+func (b *backend) succeed(r Result) {
 	b.fails, b.suspends = 0, 0
 	if b.limit < startEnd {
 		b.limit += startGrowth
@@ -56,9 +61,10 @@
 	if r.Expected <= 0 || r.Took <= 0 {
 		return
 	}
-	ratio := math.Log(float64(r.Took)/float64(r.Expected)) + mean
+	ratio := math.Log(float64(r.Took) / float64(r.Expected))
 	ratio = max(b.slow-slowClip, min(b.slow+slowClip, ratio))
-	b.slow += slowGain * (ratio - b.slow)
+	b.slow += max(slowGain, 1/float64(b.samples+1)) * (ratio - b.slow)
+	b.samples++
 }
 
 func (b *backend) fail() { b.fails++ }
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"container/list"
 	"math"
 	"time"
 
@@ -16,7 +17,10 @@
 	any       *btree.BTreeG[*backend] // by speed, those with credits for any class
 	short     *btree.BTreeG[*backend] // by speed, those with reserved credits
 	suspended []*backend
-	slowSum   float64 // sum of the logarithms of all backend servers
+	used      *list.List // backend servers, the one used longest ago first
+	picks     int
+	slowSum   float64 // sum of the logarithms of those with a learned speed
+	learned   int     // their number
 }
 
 // treeDegree is the degree of the trees.
@@ -26,6 +30,7 @@
 func NewPicker() *Picker {
 	return &Picker{
 		backends: map[string]*backend{},
+		used:     list.New(),
 		any:      btree.NewG(treeDegree, faster),
 		short:    btree.NewG(treeDegree, faster),
 	}
@@ -44,8 +49,8 @@
 		p.change(b, func() { b.draining = false })
 		return
 	}
-	b := &backend{name: server, limit: startCredit, slow: p.mean()}
-	p.slowSum += b.slow
+	b := &backend{name: server, limit: startCredit, slow: p.mean() + firstSlow}
+	b.used = p.used.PushFront(b)
 	p.backends[server] = b
 }
 
@@ -63,7 +68,11 @@
 		return
 	}
 	p.unlist(b)
-	p.slowSum -= b.slow
+	p.used.Remove(b.used)
+	if b.samples > 0 {
+		p.slowSum -= b.slow
+		p.learned--
+	}
 	delete(p.backends, server)
 	p.dropSuspended(b)
 }
@@ -120,6 +129,11 @@
 	if best == nil {
 		return Credit{}, false
 	}
+	p.picks++
+	if p.picks%exploreEvery == 0 {
+		best, kind = p.stale(class, best, kind)
+	}
+	p.used.MoveToBack(best.used)
 	c := Credit{Server: best.name, Class: kind}
 	p.change(best, func() {
 		ids := best.list(kind)
@@ -145,6 +159,29 @@
 	return anyBest, admit.AnySlot
 }
 
+// Constants of exploration.
+const (
+	exploreEvery = 200 // picks; rare enough not to show in the 99th percentile
+	exploreScan  = 4   // backend servers that are looked at
+)
+
+// stale returns a backend server that hasn't been used for long, so that its
+// speed is learned anew, or else the given one.
+func (p *Picker) stale(class admit.Class, b *backend, kind admit.SlotClass) (*backend, admit.SlotClass) {
+	e := p.used.Front()
+	for i := 0; i < exploreScan && e != nil; i++ {
+		old := e.Value.(*backend)
+		switch {
+		case old.listed[1]:
+			return old, admit.AnySlot
+		case old.listed[0] && class == admit.Short:
+			return old, admit.ShortSlot
+		}
+		e = e.Next()
+	}
+	return b, kind
+}
+
 // Done ends a request that used a credit of the backend server. It returns the
 // run time at the mean speed of the fleet.
 func (p *Picker) Done(server string, r Result, now time.Time) time.Duration {
@@ -154,10 +191,8 @@
 	}
 	p.change(b, func() {
 		b.inflight--
-		before := b.slow
 		if r.OK {
-			b.succeed(r, p.mean())
-			p.slowSum += b.slow - before
+			p.learn(b, r)
 			return
 		}
 		b.fail()
@@ -168,6 +203,18 @@
 	return time.Duration(float64(r.Took) / p.relative(b))
 }
 
+func (p *Picker) learn(b *backend, r Result) {
+	samples, before := b.samples, b.slow
+	b.succeed(r)
+	switch {
+	case samples > 0:
+		p.slowSum += b.slow - before
+	case b.samples > 0:
+		p.slowSum += b.slow
+		p.learned++
+	}
+}
+
 // Return ends a request that the agent refused as not run: nothing is learned.
 func (p *Picker) Return(server string) {
 	if b := p.backends[server]; b != nil {
@@ -184,10 +231,10 @@
 }
 
 func (p *Picker) mean() float64 {
-	if len(p.backends) == 0 {
+	if p.learned == 0 {
 		return 0
 	}
-	return p.slowSum / float64(len(p.backends))
+	return p.slowSum / float64(p.learned)
 }
 
 func (p *Picker) relative(b *backend) float64 { return math.Exp(b.slow - p.mean()) }
--- a/internal/route/reserve.go
+++ b/internal/route/reserve.go
@@ -8,7 +8,7 @@
 // Constants of a reserve.
 const (
 	reserveMemory = 10 * time.Second // time over which the mean is taken
-	reserveSpread = 2.0              // deviations kept free above the mean
+	reserveSpread = 1.5              // deviations kept free above the mean
 )
 
 // reserve decides how many slots are kept free of long requests: enough for
@@ -30,6 +30,6 @@
 
 // slots returns the number of slots to keep free of long requests.
 func (r *reserve) slots() int {
-	want := int(math.Ceil(r.mean + reserveSpread*math.Sqrt(r.mean)))
+	want := int(math.Round(r.mean + reserveSpread*math.Sqrt(r.mean)))
 	return max(r.low, min(r.high, want))
 }
