--- a/internal/load/server.go
+++ b/internal/load/server.go
@@ -16,7 +16,6 @@
 	drift  float64
 	period float64 // seconds
 	phase  float64
-	Runs   int // jobs started
 }
 
 // Speed returns the speed at a time, relative to 1.0.
@@ -56,7 +55,7 @@
 // Start runs a job on a server and calls done when it ends. The caller keeps
 // count of the slots.
 func (w *World) Start(s *Server, j *Job, done func()) time.Duration {
-	s.Runs++
+	w.runs[j]++
 	took := time.Duration(j.Size / s.Speed(w.now) * float64(time.Second))
 	w.After(took, done)
 	return took
--- /dev/null
+++ b/internal/load/summary.go
@@ -0,0 +1,35 @@
+package load
+
+import "sort"
+
+// Summary is the median and the spread of one metric over the seeds.
+type Summary struct {
+	Scenario, Metric, Policy string
+	Low, Median, High        float64
+	Seeds                    int
+}
+
+// Summarize returns one summary for each scenario, metric and policy, in the
+// order in which they first occur.
+func Summarize(figures []Figure) []Summary {
+	type key struct{ scenario, metric, policy string }
+	values := map[key][]float64{}
+	var order []key
+	for _, f := range figures {
+		k := key{f.Scenario, f.Metric, f.Policy}
+		if values[k] == nil {
+			order = append(order, k)
+		}
+		values[k] = append(values[k], f.Value)
+	}
+	var out []Summary
+	for _, k := range order {
+		v := values[k]
+		sort.Float64s(v)
+		out = append(out, Summary{
+			Scenario: k.scenario, Metric: k.metric, Policy: k.policy,
+			Low: v[0], Median: v[len(v)/2], High: v[len(v)-1], Seeds: len(v),
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/load/timeline.go
@@ -0,0 +1,20 @@
+package load
+
+import (
+	"strconv"
+	"time"
+)
+
+// TimelineMetric is the prefix of the metrics of the timeline: the p99 of the
+// short jobs that arrived in one second of the crest scenario, in milliseconds.
+const TimelineMetric = "second-"
+
+func (w *World) timeline(policy string) []Figure {
+	var out []Figure
+	add := adder(&out, "crest", policy, w.Scenario.Seed)
+	for at := time.Duration(0); at < CrestFinish; at += time.Second {
+		p99 := w.p99(Short, Arrived(at, at+time.Second))
+		add(TimelineMetric+strconv.Itoa(int(at.Seconds())), millis(p99))
+	}
+	return out
+}
--- a/internal/load/world.go
+++ b/internal/load/world.go
@@ -41,7 +41,8 @@
 	now    time.Duration
 	events events
 	seq    int
-	open   int // jobs without a result
+	runs   map[*Job]int // how often each job was started
+	open   int          // jobs without a result
 	policy Policy
 }
 
@@ -74,7 +75,7 @@
 // End records what came of a job.
 func (w *World) End(j *Job, answered bool) {
 	w.open--
-	w.Results = append(w.Results, Result{Job: j, Answered: answered, At: w.now})
+	w.Results = append(w.Results, Result{Job: j, Answered: answered, At: w.now, Runs: w.runs[j]})
 }
 
 // Open returns the number of jobs without a result.
@@ -82,7 +83,7 @@
 
 // Run drives a policy with the jobs of a scenario.
 func Run(s Scenario, start func(*World) Policy) *World {
-	w := &World{Scenario: s, Servers: newServers(s), open: len(s.Jobs)}
+	w := &World{Scenario: s, Servers: newServers(s), open: len(s.Jobs), runs: map[*Job]int{}}
 	p := start(w)
 	w.policy = p
 	for i := range s.Jobs {
@@ -107,6 +108,7 @@
 	Job      *Job
 	Answered bool // false: refused, has not run
 	At       time.Duration
+	Runs     int // how often it was started
 }
 
 // Took returns the time from arrival to answer.
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -144,6 +144,10 @@
 	return c, true
 }
 
+// reservedBonus is the logarithm by which a reserved slot may be slower and
+// still be preferred for a short request, so that long ones find fast slots.
+const reservedBonus = 0.15
+
 func (p *Picker) first(class admit.Class) (*backend, admit.SlotClass) {
 	anyBest, ok := p.any.Min()
 	if !ok {
@@ -153,7 +157,7 @@
 		return anyBest, admit.AnySlot
 	}
 	shortBest, ok := p.short.Min()
-	if ok && (anyBest == nil || !faster(anyBest, shortBest)) {
+	if ok && (anyBest == nil || shortBest.slow <= anyBest.slow+reservedBonus) {
 		return shortBest, admit.ShortSlot
 	}
 	return anyBest, admit.AnySlot
