--- /dev/null
+++ b/internal/admit/retry_test.go
@@ -0,0 +1,92 @@
+package admit
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// retryModel drains a queue with slots of its own that each take one request
+// of a constant size at a time.
+type retryModel struct {
+	q    *Queue
+	now  time.Time
+	size time.Duration
+	ends []time.Time // when each slot is free
+	run  []Request
+}
+
+// drain runs the slots until a time.
+func (m *retryModel) drain(until time.Time) {
+	for {
+		first := 0
+		for i := range m.ends {
+			if m.ends[i].Before(m.ends[first]) {
+				first = i
+			}
+		}
+		if m.ends[first].After(until) {
+			m.now = until
+			return
+		}
+		m.now = m.ends[first]
+		if m.run[first].ID != "" {
+			m.q.Done(m.run[first], m.size, Answer, m.now)
+		}
+		m.run[first], _ = m.q.Pop("s", AnySlot, m.now)
+		m.ends[first] = m.now.Add(m.size)
+	}
+}
+
+// A caller that comes back at the time that it was told is accepted, with as
+// much time before its deadline as the first time, if the slots keep their
+// pace and only callers that were told so come back.
+func TestRefusalTellsATrueRetryTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 4).Draw(t, "slots")
+		m := &retryModel{q: newTestQueue(Options{}), now: time.Unix(1000, 0)}
+		m.q.SetFleet("s", slots, 1)
+		m.size = time.Duration(rapid.IntRange(10, 90).Draw(t, "ms")) * time.Millisecond
+		budget := time.Duration(rapid.IntRange(500, 3000).Draw(t, "budget")) * time.Millisecond
+		m.ends, m.run = make([]time.Time, slots), make([]Request, slots)
+		for i := range m.ends {
+			m.ends[i] = m.now.Add(m.size * time.Duration(i+1) / time.Duration(slots))
+		}
+		push := func(n int) error {
+			return m.q.Push(Request{
+				ID: strconv.Itoa(n), Team: "a", Service: "s", Idempotent: true,
+				SizeMs: m.size.Milliseconds(), Deadline: m.now.Add(budget),
+			}, m.now)
+		}
+		var told []time.Time
+		n := 0
+		for refused := rapid.IntRange(1, 5).Draw(t, "refused"); len(told) < refused; n++ {
+			var refusal *Refusal
+			if err := push(n); err != nil {
+				require.ErrorAs(t, err, &refusal)
+				require.ErrorIs(t, err, ErrTooLate)
+				require.True(t, refusal.RetryAt.After(m.now))
+				told = append(told, refusal.RetryAt)
+			}
+		}
+		for _, at := range told {
+			m.drain(at)
+			n++
+			require.NoError(t, push(n), "told to come back at %v", at)
+		}
+	})
+}
+
+// The queue of a team beyond its limit tells a retry time as well.
+func TestFullQueueTellsARetryTime(t *testing.T) {
+	q, now := newTestQueue(Options{MaxQueued: 1}), time.Unix(1000, 0)
+	require.NoError(t, q.Push(Request{ID: "1", Team: "a", Service: "s", Idempotent: true}, now))
+	err := q.Push(Request{ID: "2", Team: "a", Service: "s", Idempotent: true}, now)
+	require.ErrorIs(t, err, ErrQueueFull)
+	var refusal *Refusal
+	require.ErrorAs(t, err, &refusal)
+	require.True(t, refusal.RetryAt.After(now))
+}
--- a/internal/admit/service.go
+++ b/internal/admit/service.go
@@ -50,7 +50,8 @@
 }
 
 func (s *service) push(l *ledger, it *item, now time.Time) {
-	if l.live == 0 {
+	if !l.listed {
+		l.listed = true
 		s.active = append(s.active, l)
 	}
 	l.push(it)
@@ -72,7 +73,8 @@
 func (s *service) sweep() {
 	kept := s.active[:0]
 	for _, l := range s.active {
-		if l.live > 0 {
+		l.listed = l.live > 0
+		if l.listed {
 			kept = append(kept, l)
 		}
 	}
