--- /dev/null
+++ b/internal/admit/input_test.go
@@ -0,0 +1,124 @@
+package admit
+
+import (
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+func TestPushRefusesBadInput(t *testing.T) {
+	now := time.Unix(1000, 0)
+	good := Request{ID: "1", Team: "a", Service: "s", Key: "k", Deadline: now.Add(time.Minute)}
+	for _, c := range []struct {
+		name   string
+		change func(*Request)
+		reason error
+		field  string
+	}{
+		{"no id", func(r *Request) { r.ID = "" }, ErrBadValue, "id"},
+		{"deadline past", func(r *Request) { r.Deadline = now }, ErrDeadlinePast, "deadline"},
+		{"deadline too soon", func(r *Request) { r.Deadline = now.Add(time.Millisecond) }, ErrDeadlineTooSoon, "deadline"},
+		{"key of 10 kB", func(r *Request) { r.Key = strings.Repeat("k", 10_000) }, ErrKeyTooLong, "key"},
+		{"no key", func(r *Request) { r.Key = "" }, ErrKeyMissing, "key"},
+		{"unknown team", func(r *Request) { r.Team = "z" }, ErrUnknownTeam, "team"},
+		{"unknown service", func(r *Request) { r.Service = "z" }, ErrUnknownService, "service"},
+		{"urgency", func(r *Request) { r.Urgency = "now" }, ErrBadValue, "urgency"},
+		{"class", func(r *Request) { r.Declared = "huge" }, ErrBadValue, "class"},
+		{"negative size", func(r *Request) { r.SizeMs = -1 }, ErrBadValue, "size"},
+		{"endless size", func(r *Request) { r.SizeMs = sizeMsMax + 1 }, ErrBadValue, "size"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			q, r := newTestQueue(Options{}), good
+			c.change(&r)
+			err := q.Push(r, now)
+			require.ErrorIs(t, err, c.reason)
+			var refusal *Refusal
+			require.ErrorAs(t, err, &refusal)
+			require.Equal(t, c.field, refusal.Field)
+			require.Less(t, len(err.Error()), 200)
+			require.Zero(t, q.Len())
+		})
+	}
+}
+
+func TestPushRefusesAnIDThatIsQueuedOrRunning(t *testing.T) {
+	q, now := newTestQueue(Options{}), time.Unix(1000, 0)
+	r := Request{ID: "1", Team: "a", Service: "s", Idempotent: true}
+	require.NoError(t, q.Push(r, now))
+	require.ErrorIs(t, q.Push(r, now), ErrDuplicate)
+	_, ok := q.Pop("s", AnySlot, now)
+	require.True(t, ok)
+	require.ErrorIs(t, q.Push(r, now), ErrDuplicate)
+}
+
+func TestTeamThatMayNotCallIsRefused(t *testing.T) {
+	q, now := newTestQueue(Options{}), time.Unix(1000, 0)
+	service := testService
+	service.Teams = []string{"b"}
+	q.SetServices([]model.Service{service})
+	err := q.Push(Request{ID: "1", Team: "a", Service: "s", Idempotent: true}, now)
+	require.ErrorIs(t, err, ErrNotAllowed)
+}
+
+// A dropped team's queue is still served; a dropped service's queue expires.
+func TestDroppedTeamAndService(t *testing.T) {
+	q, now := newTestQueue(Options{}), time.Unix(1000, 0)
+	for _, id := range []string{"1", "2"} {
+		require.NoError(t, q.Push(Request{ID: id, Team: "a", Service: "s", Idempotent: true}, now))
+	}
+	q.SetTeams(testTeams[1:])
+	_, ok := q.Pop("s", AnySlot, now)
+	require.True(t, ok)
+	q.SetServices(nil)
+	require.Len(t, q.Expire(now), 1)
+	require.Zero(t, q.Len())
+}
+
+// Sizes are learned where the declared ones are off.
+func TestClassIsLearned(t *testing.T) {
+	q, now := newTestQueue(Options{}), time.Unix(1000, 0)
+	push := func(id int) Class {
+		r := Request{ID: strconv.Itoa(id), Team: "a", Service: "s", Idempotent: true, Declared: Short, SizeMs: 10}
+		require.NoError(t, q.Push(r, now))
+		r, ok := q.Pop("s", AnySlot, now)
+		require.True(t, ok)
+		q.Done(r, 3*time.Second, Answer, now)
+		return r.Class
+	}
+	require.Equal(t, Short, push(0))
+	for i := 1; i < minSamples; i++ {
+		push(i)
+	}
+	require.Equal(t, Long, push(minSamples))
+}
+
+// A slow slot goes to borrowed work while a team within its guarantee may
+// expect a faster one.
+func TestSlowSlotGoesToBorrowedWork(t *testing.T) {
+	q, now := newTestQueue(Options{}), time.Unix(1000, 0)
+	require.NoError(t, q.Push(Request{ID: "a", Team: "a", Service: "s", Idempotent: true}, now))
+	require.NoError(t, q.Push(Request{ID: "c", Team: "c", Service: "s", Idempotent: true}, now))
+	r, ok := q.PopSlot("s", Slot{Class: AnySlot, Slow: 2}, now)
+	require.True(t, ok)
+	require.Equal(t, "c", r.ID)
+	r, ok = q.PopSlot("s", Slot{Class: AnySlot, Slow: 2}, now)
+	require.True(t, ok)
+	require.Equal(t, "a", r.ID)
+}
+
+func TestBudget(t *testing.T) {
+	b, ok := NewBudget(RetryShare, 1).Spent()
+	require.True(t, ok)
+	_, ok = b.Spent()
+	require.False(t, ok)
+	for range 11 {
+		b = b.Earned()
+	}
+	_, ok = b.Spent()
+	require.True(t, ok)
+}
--- a/internal/admit/ledger.go
+++ b/internal/admit/ledger.go
@@ -11,7 +11,7 @@
 	acct     *account
 	lines    [len(urgencies)][2]line // by urgency and class: short, long
 	live     int
-	listed   bool // whether it is in the active list of its service
+	listed   bool      // whether it is in the active list of its service
 	promised time.Time // latest retry time told to a caller of the team
 }
 
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -133,15 +133,46 @@
 	if p.picks%exploreEvery == 0 {
 		best, kind = p.stale(class, best, kind)
 	}
-	p.used.MoveToBack(best.used)
-	c := Credit{Server: best.name, Class: kind}
-	p.change(best, func() {
-		ids := best.list(kind)
+	return p.use(best, kind), true
+}
+
+// PickOther uses up a credit for a hedge: the best one of another backend
+// server than the one that has the request already.
+func (p *Picker) PickOther(class admit.Class, server string, now time.Time) (Credit, bool) {
+	p.release(now)
+	var best *backend
+	kind := admit.AnySlot
+	other := func(k admit.SlotClass) func(*backend) bool {
+		return func(b *backend) bool {
+			if b.name == server {
+				return true
+			}
+			if best == nil || faster(b, best) {
+				best, kind = b, k
+			}
+			return false
+		}
+	}
+	if class == admit.Short {
+		p.short.Ascend(other(admit.ShortSlot))
+	}
+	p.any.Ascend(other(admit.AnySlot))
+	if best == nil {
+		return Credit{}, false
+	}
+	return p.use(best, kind), true
+}
+
+func (p *Picker) use(b *backend, kind admit.SlotClass) Credit {
+	c := Credit{Server: b.name, Class: kind}
+	p.used.MoveToBack(b.used)
+	p.change(b, func() {
+		ids := b.list(kind)
 		c.ID = (*ids)[0]
 		*ids = (*ids)[1:]
-		best.inflight++
+		b.inflight++
 	})
-	return c, true
+	return c
 }
 
 // reservedBonus is the logarithm by which a reserved slot may be slower and
@@ -194,7 +225,7 @@
 		return r.Took
 	}
 	p.change(b, func() {
-		b.inflight--
+		b.inflight = max(0, b.inflight-1)
 		if r.OK {
 			p.learn(b, r)
 			return
@@ -222,7 +253,7 @@
 // Return ends a request that the agent refused as not run: nothing is learned.
 func (p *Picker) Return(server string) {
 	if b := p.backends[server]; b != nil {
-		p.change(b, func() { b.inflight-- })
+		p.change(b, func() { b.inflight = max(0, b.inflight-1) })
 	}
 }
 
