admit: bound the search among teams

Cause: with 410 teams waiting, push, pop and done of one request took 51 us on a busy machine, all of it in the search for the best request. Change: a team is looked into only if its rank could win; equal teams take turns; guaranteed slots and weights of the active teams are kept as sums.

--- a/internal/admit/bench_test.go
+++ b/internal/admit/bench_test.go
@@ -25,7 +25,7 @@
 }
 
 // BenchmarkQueue takes one request through push, pop and done while every team
-// has a request queued.
+// has a request queued and four running.
 func BenchmarkQueue(b *testing.B) {
 	for _, teams := range []int{4, 410} {
 		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
@@ -35,7 +35,8 @@
 				r.ID = "first-" + strconv.Itoa(i)
 				_ = q.Push(r, now)
 			}
-			ids := make([]string, 4096)
+			running := make([]Request, 4*teams)
+			ids := make([]string, 16*teams)
 			for i := range ids {
 				ids[i] = strconv.Itoa(i)
 			}
@@ -44,9 +45,19 @@
 				r := requests[i%teams]
 				r.ID = ids[i%len(ids)]
 				_ = q.Push(r, now)
+				now = now.Add(time.Microsecond)
 				r, _ = q.Pop("s", AnySlot, now)
-				q.Done(r, time.Millisecond, Answer, now)
+				q.Done(running[i%len(running)], time.Millisecond, Answer, now)
+				running[i%len(running)] = r
 			}
+			b.StopTimer()
+			waiting := 0
+			for _, l := range q.services["s"].active {
+				if l.live > 0 {
+					waiting++
+				}
+			}
+			b.ReportMetric(float64(waiting), "teams-waiting")
 		})
 	}
 }
--- a/internal/admit/ledger.go
+++ b/internal/admit/ledger.go
@@ -10,6 +10,7 @@
 type ledger struct {
 	acct     *account
 	lines    [len(urgencies)][2]line // by urgency and class: short, long
+	levels   [len(urgencies)]int     // queued requests by urgency
 	live     int
 	listed   bool      // whether it is in the active list of its service
 	promised time.Time // latest retry time told to a caller of the team
@@ -26,11 +27,13 @@
 
 func (l *ledger) push(it *item) {
 	l.line(it).push(it)
+	l.levels[it.level]++
 	l.live++
 }
 
 func (l *ledger) remove(it *item) {
 	l.line(it).remove(it)
+	l.levels[it.level]--
 	l.live--
 }
 
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -54,6 +54,9 @@
 			delete(q.accounts, name)
 		}
 	}
+	for _, s := range q.services {
+		s.sweep()
+	}
 }
 
 // SetServices replaces the committed services. What a dropped service has
--- a/internal/admit/service.go
+++ b/internal/admit/service.go
@@ -12,7 +12,10 @@
 	allowed map[string]bool // teams that may call it; nil means all
 	slots   int             // slots of the whole fleet
 	ledgers map[string]*ledger
-	active  []*ledger    // those with queued requests
+	active  []*ledger    // those with queued requests, and a few others
+	held    int          // guaranteed slots of the active ones
+	weights int          // weights of the active ones
+	turn    int          // where the search for the best request begins
 	queued  [2]int       // by class
 	drains  [2]drainRate // by class
 }
@@ -53,6 +56,8 @@
 	if !l.listed {
 		l.listed = true
 		s.active = append(s.active, l)
+		s.held += l.acct.team.Slots
+		s.weights += l.acct.weight()
 	}
 	l.push(it)
 	s.count(it, 1, now)
@@ -72,10 +77,13 @@
 // sweep forgets teams that have nothing queued any more.
 func (s *service) sweep() {
 	kept := s.active[:0]
+	s.held, s.weights = 0, 0
 	for _, l := range s.active {
 		l.listed = l.live > 0
 		if l.listed {
 			kept = append(kept, l)
+			s.held += l.acct.team.Slots
+			s.weights += l.acct.weight()
 		}
 	}
 	clear(s.active[len(kept):])
@@ -101,11 +109,16 @@
 func (s *service) best(slot Slot, longBefore, now time.Time) (*ledger, *item) {
 	var first, patient choice
 	idle := false
-	for _, l := range s.active {
+	s.turn++
+	for i := range s.active {
+		l := s.active[(s.turn+i)%len(s.active)]
 		if l.live == 0 {
 			idle = true
 			continue
 		}
+		if first.it != nil && !l.bound().before(first.rank) {
+			continue
+		}
 		it := l.best(slot, longBefore, now)
 		switch {
 		case it == nil:
@@ -140,6 +153,20 @@
 	start    time.Time
 }
 
+// latest is later than the latest start of any request.
+var latest = time.Unix(1<<40, 0)
+
+// bound returns a rank that no request of the team goes before, except by its
+// latest start: teams that are equal otherwise take turns.
+func (l *ledger) bound() rank {
+	level := 0
+	for level < len(l.levels)-1 && l.levels[level] == 0 {
+		level++
+	}
+	load := l.acct.load()
+	return rank{borrowed: load >= 0, level: level, load: load, start: latest}
+}
+
 func rankOf(l *ledger, it *item, longBefore time.Time) rank {
 	load := l.acct.load()
 	later := it.r.Class == Long && !it.r.Arrived.Before(longBefore)
@@ -166,19 +193,12 @@
 // don't hold.
 func (s *service) rate(l *ledger, c Class) float64 {
 	total := float64(max(1, s.slots))
-	free, weights, counted := total, 0.0, false
-	for _, other := range s.active {
-		if other.live == 0 && other != l {
-			continue
-		}
-		counted = counted || other == l
-		free -= float64(other.acct.team.Slots)
-		weights += float64(other.acct.weight())
-	}
-	if !counted {
-		free -= float64(l.acct.team.Slots)
-		weights += float64(l.acct.weight())
+	held, weights := s.held, s.weights
+	if !l.listed {
+		held += l.acct.team.Slots
+		weights += l.acct.weight()
 	}
-	share := float64(l.acct.team.Slots) + max(0, free)*float64(l.acct.weight())/weights
+	free := max(0, total-float64(held))
+	share := float64(l.acct.team.Slots) + free*float64(l.acct.weight())/float64(weights)
 	return s.drains[classIndex(c)].rate * min(1, share/total)
 }
