--- a/internal/admit/ledger.go
+++ b/internal/admit/ledger.go
@@ -10,7 +10,9 @@
 type ledger struct {
 	acct     *account
 	lines    [len(urgencies)][2]line // by urgency and class: short, long
+	levels   [len(urgencies)]int     // queued requests by urgency
 	live     int
+	listed   bool      // whether it is in the active list of its service
 	promised time.Time // latest retry time told to a caller of the team
 }
 
@@ -25,22 +27,22 @@
 
 func (l *ledger) push(it *item) {
 	l.line(it).push(it)
+	l.levels[it.level]++
 	l.live++
 }
 
 func (l *ledger) remove(it *item) {
 	l.line(it).remove(it)
+	l.levels[it.level]--
 	l.live--
 }
 
-// ahead returns the work, in seconds, that is served before a new request.
+// ahead returns the work of a class, in seconds, that is served before a new
+// request of the class.
 func (l *ledger) ahead(level int, c Class) float64 {
 	sum := 0.0
 	for i := 0; i <= level; i++ {
-		sum += l.lines[i][0].work
-		if c == Long {
-			sum += l.lines[i][1].work
-		}
+		sum += l.lines[i][classIndex(c)].work
 	}
 	return sum
 }
