--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,8 @@
 test: lint vet ## Formatter, linter, vet, then every test under the race detector.
 	$(GO) build ./...
 	$(GO) build -o $(BIN)/verdict ./internal/tool/verdict
-	$(GO) test -json -race -count=1 -timeout 20m ./... -rapid.seed=$(SEED) | $(BIN)/verdict
+	( $(GO) test -json -race -count=1 -timeout 20m $$($(GO) list ./... | grep -v /internal/e2e) ; \
+	  $(GO) test -json -race -count=1 -timeout 20m ./internal/e2e ) | $(BIN)/verdict
 
 .PHONY: lint
 lint: $(LINT) ## Fails on unformatted code and on lint findings.
@@ -32,7 +33,8 @@
 
 .PHONY: demo
 demo: build ## Runs a small deployment on loopback and one request of each kind.
-	$(GO) test -count=1 -timeout 120s -run '^TestDemo$$' ./internal/e2e -args -bin $(BIN) -verbose
+	$(GO) test -c -o $(BIN)/demo.test ./internal/e2e
+	cd internal/e2e && $(BIN)/demo.test -test.timeout 120s -test.run '^TestDemo$$' -bin $(BIN) -verbose
 
 .PHONY: gen
 gen: ## Generates protobuf code with the pinned generator.
--- a/pkg/client/list.go
+++ b/pkg/client/list.go
@@ -1,6 +1,10 @@
 package client
 
-import "github.com/knapweedlug/knapweedlug/pkg/model"
+import (
+	"time"
+
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
 
 // Confirm is the body of POST /v1/plans/{id}/confirm.
 type Confirm struct {
@@ -38,5 +42,7 @@
 type Explanation struct {
 	Job      model.Job `json:"job"`
 	Reason   string    `json:"reason"`
+	Needs    []string  `json:"needs,omitempty"`   // what it would take, any one of them
+	Earliest time.Time `json:"earliest,omitzero"` // when it can be expected to start
 	Blockers []Blocker `json:"blockers,omitempty"`
 }
--- a/pkg/client/member.go
+++ b/pkg/client/member.go
@@ -8,6 +8,7 @@
 	MemberLeader   MemberRole = "leader"
 	MemberFollower MemberRole = "follower"
 	MemberLearner  MemberRole = "learner" // receives the log and doesn't count for a quorum
+	MemberWaiting  MemberRole = "waiting" // has announced itself and belongs to no membership
 )
 
 // RepairState says how far a replica's repair has come.
