--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -45,6 +45,7 @@
 	server *server
 	grants *grants
 	tasks  *tasks
+	meters meters
 
 	transport *http.Transport // requests to the backend server
 	probes    *http.Transport // health checks
@@ -77,6 +78,7 @@
 		transport: newTransport(),
 		probes:    newTransport(),
 		ln:        ln,
+		meters:    newMeters(env.Metrics),
 		offer:     serverNone,
 	}
 	id := wire.NewIdentity(env.Node, RoleName, env.Keys, uuid.NewString())
--- a/internal/agent/health.go
+++ b/internal/agent/health.go
@@ -26,6 +26,7 @@
 			return nil
 		case <-t.C:
 			a.checkHealth(ctx)
+			a.updateMeters()
 		}
 	}
 }
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -50,7 +50,7 @@
 	}
 	deadline := a.env.Clock.Now().Add(time.Duration(work.Remainms) * time.Millisecond)
 	if code := a.take(st.Peer().Name, &work); code != "" {
-		return st.Send(notRun(code))
+		return a.refuse(st, code)
 	}
 	run := &run{agent: a, work: &work, body: body, stream: st, began: a.env.Clock.Now()}
 	defer run.finish()
@@ -62,6 +62,13 @@
 	return run.serve(ctx, cancel)
 }
 
+// refuse tells the entry that the request did not run and can't any more.
+func (a *Agent) refuse(st *wire.Stream, code string) error {
+	ans := notRun(code)
+	a.meters.count(ans)
+	return st.Send(ans)
+}
+
 // watchLength accounts a short request as long once it has run for longer than
 // its service allows a short one.
 func (a *Agent) watchLength(work *wire.Work) (stop func()) {
@@ -220,6 +227,7 @@
 		ans = unknown(codeServer)
 		r.settle(ans, nil)
 	}
+	r.agent.meters.count(ans)
 	return r.stream.Send(ans)
 }
 
@@ -229,6 +237,7 @@
 		Status:  uint32(resp.StatusCode),
 		Tookms:  uint32(r.agent.env.Clock.Now().Sub(r.began).Milliseconds()),
 	}
+	r.agent.meters.count(ans)
 	for name, values := range resp.Header {
 		for _, v := range values {
 			ans.Headers = append(ans.Headers, &wire.Header{Name: name, Value: v})
--- a/internal/contrl/contrl.go
+++ b/internal/contrl/contrl.go
@@ -36,17 +36,18 @@
 
 // Control is the role at work.
 type Control struct {
-	env   *kern.Env
-	cfg   *Settings
-	name  string
-	state *state.State
-	node  *replog.Node
-	store *store.Store
-	mach  *machine
-	links map[string]*wire.Link // to the other control processes, by name
-	trans *transport
-	nodes *nodes
-	plat  *platf.Client // nil without a platform
+	env    *kern.Env
+	cfg    *Settings
+	name   string
+	state  *state.State
+	node   *replog.Node
+	store  *store.Store
+	mach   *machine
+	links  map[string]*wire.Link // to the other control processes, by name
+	trans  *transport
+	nodes  *nodes
+	meters meters
+	plat   *platf.Client // nil without a platform
 
 	server *wire.Server
 	ln     net.Listener
@@ -70,6 +71,7 @@
 	c := &Control{
 		env: env, cfg: cfg, name: env.Node.Name, store: st,
 		state: state.New(), links: map[string]*wire.Link{}, nodes: newNodes(env.Clock),
+		meters: newMeters(env.Metrics),
 	}
 	if cfg.Platform != "" {
 		c.plat = platf.New(cfg.Platform, &http.Client{})
@@ -137,6 +139,7 @@
 	g.Go(func() error { return c.server.Serve(ctx, c.ln) })
 	g.Go(func() error { return c.watchVouch(ctx) })
 	g.Go(func() error { return c.watchLead(ctx) })
+	g.Go(func() error { return c.watchMeters(ctx) })
 	if c.api != nil {
 		g.Go(func() error { return c.serveOperators(ctx) })
 	}
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -11,6 +11,7 @@
 
 	"github.com/knapweedlug/knapweedlug/internal/admit"
 	"github.com/knapweedlug/knapweedlug/internal/route"
+	"github.com/knapweedlug/knapweedlug/internal/trace"
 	"github.com/knapweedlug/knapweedlug/internal/wire"
 )
 
@@ -174,6 +175,7 @@
 	p := d.picker(a.service)
 	for _, c := range credits {
 		p.Grant(creditOf(a, c))
+		d.rec.write(trace.Event{Kind: trace.Grant, Server: a.name, Slot: c.Id})
 	}
 	d.match(a.service)
 }
@@ -187,6 +189,7 @@
 	p := d.picker(a.service)
 	for _, c := range credits {
 		p.Revoke(creditOf(a, c))
+		d.rec.write(trace.Event{Kind: trace.Revoke, Server: a.name, Slot: c.Id})
 	}
 }
 
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -17,6 +17,7 @@
 // finish passes the result of the last attempt on to the caller.
 func (e *Entry) finish(w http.ResponseWriter, o *order, res result) {
 	e.count(res.outcome)
+	e.rec.ended(o, res)
 	e.env.Log.Debug("request ended", zap.String("request", o.ID), zap.String("team", o.Team),
 		zap.String("service", o.Service), zap.String("outcome", string(res.outcome)), zap.String("code", string(res.code)))
 	switch {
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -39,6 +39,7 @@
 	}
 	e.began()
 	defer e.ended()
+	defer e.meters.took(now, e.env.Clock)
 	ctx, cancel := context.WithDeadline(r.Context(), o.deadline)
 	defer cancel()
 	if o.Idempotent {
--- a/internal/entry/desk.go
+++ b/internal/entry/desk.go
@@ -8,6 +8,7 @@
 	"github.com/knapweedlug/knapweedlug/internal/conf"
 	"github.com/knapweedlug/knapweedlug/internal/kern"
 	"github.com/knapweedlug/knapweedlug/internal/route"
+	"github.com/knapweedlug/knapweedlug/internal/trace"
 )
 
 // flight is one request between its arrival and its answer.
@@ -28,6 +29,7 @@
 // made by admit and route; the desk holds the lock.
 type desk struct {
 	clock kern.Clock
+	rec   *recorder
 
 	mu      sync.Mutex
 	queue   *admit.Queue
@@ -38,9 +40,10 @@
 	budget  admit.Budget
 }
 
-func newDesk(clock kern.Clock, opt admit.Options) *desk {
+func newDesk(clock kern.Clock, opt admit.Options, rec *recorder) *desk {
 	return &desk{
 		clock:   clock,
+		rec:     rec,
 		queue:   admit.New(opt),
 		pickers: map[string]*route.Picker{},
 		agents:  map[string]*agent{},
@@ -82,7 +85,9 @@
 func (d *desk) push(f *flight) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.rec.arrived(f.order)
 	if err := d.queue.Push(f.order.Request, d.clock.Now()); err != nil {
+		d.rec.write(trace.Event{Kind: trace.Refuse, ID: f.order.ID, Reason: err.Error()})
 		return err
 	}
 	d.flights[f.order.ID] = f
@@ -94,6 +99,7 @@
 func (d *desk) again(f *flight, server string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.rec.write(trace.Event{Kind: trace.Return, ID: f.order.ID, Server: server})
 	d.picker(f.order.Service).Return(server)
 	d.flights[f.order.ID] = f
 	if !d.queue.Requeue(f.order.ID, d.clock.Now()) {
@@ -125,6 +131,7 @@
 	delete(d.flights, f.order.ID)
 	ok := d.queue.Cancel(f.order.ID, d.clock.Now())
 	if ok {
+		d.rec.write(trace.Event{Kind: trace.Cancel, ID: f.order.ID})
 		d.tellDemand(f.order.Service)
 	}
 	return ok
@@ -161,6 +168,7 @@
 		return
 	}
 	f.order.Class = r.Class
+	d.rec.write(trace.Event{Kind: trace.Send, ID: r.ID, Server: c.Server, Slot: c.ID})
 	f.start <- start{credit: c, agent: a, short: c.Class == admit.ShortSlot}
 }
 
@@ -168,9 +176,13 @@
 func (d *desk) expire() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if len(d.flights) == 0 {
+		return
+	}
 	for _, r := range d.queue.Expire(d.clock.Now()) {
 		if f := d.flights[r.ID]; f != nil {
 			delete(d.flights, r.ID)
+			d.rec.write(trace.Event{Kind: trace.Refuse, ID: r.ID, Reason: "expired"})
 			f.start <- start{expired: true}
 		}
 	}
@@ -234,3 +246,21 @@
 	}
 	return out
 }
+
+// slotCount returns the slots of all services.
+func (d *desk) slotCount() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for _, slots := range d.slots {
+		n += slots
+	}
+	return n
+}
+
+// queued returns the number of requests that wait.
+func (d *desk) queued() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.queue.Len()
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -45,6 +45,8 @@
 	conf   *conf.Holder
 	desk   *desk
 	poller *poll.Poller
+	rec    *recorder
+	meters meters
 	links  []*wire.Link
 	server *wire.Server
 	http   *http.Server
@@ -73,10 +75,12 @@
 	e := &Entry{
 		env: env, cfg: cfg, ln: limitConns(ln, cfg.Conns), peers: peers,
 		conf:     conf.NewHolder(env.Node.Cluster),
-		desk:     newDesk(env.Clock, admit.Options{MaxQueued: cfg.Queued}.Defaults()),
+		rec:      newRecorder(cfg.Record, env),
 		sessions: map[string]*wire.Session{},
 		keys:     newCallers(conf.Config{}),
 	}
+	e.desk = newDesk(env.Clock, admit.Options{MaxQueued: cfg.Queued}.Defaults(), e.rec)
+	e.meters = newMeters(env.Metrics)
 	id := wire.NewIdentity(env.Node, RoleName, env.Keys, uuid.NewString())
 	mux := wire.NewMux(env.Log)
 	mux.Handle(wire.MethodGrant, e.handleGrant)
@@ -180,6 +184,7 @@
 	g.Go(func() error { return e.poller.Run(ctx) })
 	g.Go(func() error { return e.server.Serve(ctx, e.peers) })
 	g.Go(func() error { return e.watchDeadlines(ctx) })
+	g.Go(func() error { return e.watchMeters(ctx) })
 	g.Go(func() error {
 		stop := context.AfterFunc(ctx, func() { _ = e.http.Close() })
 		defer stop()
@@ -224,9 +229,7 @@
 
 func (e *Entry) ended() { e.running.Add(-1) }
 
-func (e *Entry) count(out client.Outcome) {
-	e.env.Metrics.Tagged(map[string]string{"outcome": string(out)}).Counter("requests").Inc(1)
-}
+func (e *Entry) count(out client.Outcome) { e.meters.outcomes[out].Inc(1) }
 
 // Request implements poll.Node.
 func (e *Entry) Request() *wire.SyncRequest {
@@ -246,6 +249,7 @@
 	}
 	if cfg := e.conf.Config(); cfg.Revision() != before {
 		e.desk.configure(cfg)
+		e.rec.begin(e.env.Node.Cluster, cfg, e.desk.slotCount())
 	}
 	return nil
 }
