--- a/internal/replog/change.go
+++ b/internal/replog/change.go
@@ -62,10 +62,11 @@
 	return c.addLearner(name, m.Incarnation)
 }
 
-// caughtUp tells whether a member holds on disk all that is committed now.
+// caughtUp tells whether a member holds on disk what was committed less than
+// an election time ago.
 func (c *core) caughtUp(inc string) bool {
 	p := c.peer(inc)
-	return p != nil && !p.refused && !p.full && c.reachable(p) && p.match >= c.commit
+	return p != nil && !p.refused && !p.full && c.reachable(p) && (p.match >= c.commit || c.now.Before(p.caughtUpDeadline))
 }
 
 func (c *core) promote(key string) (uint64, error) {
--- a/internal/replog/lead.go
+++ b/internal/replog/lead.go
@@ -49,6 +49,11 @@
 	full     bool
 	refused  bool // the peer has lost entries that it acknowledged
 	transfer transfer
+	// target is what was committed at targetSet. A peer that reaches it soon
+	// enough counts as caught up until caughtUpDeadline.
+	target           uint64
+	targetSet        time.Time
+	caughtUpDeadline time.Time
 }
 
 // flight is an append on its way: its last entry and its size.
@@ -87,7 +92,8 @@
 	}
 	p, ok := c.leading.peers[inc]
 	if !ok {
-		p = &progress{state: Probe, next: c.log.lastIndex() + 1, heard: c.now}
+		p = &progress{state: Probe, next: c.log.lastIndex() + 1, heard: c.now, targetSet: c.now}
+		p.target = max(c.commit, c.leading.termStart)
 		c.leading.peers[inc] = p
 	}
 	return p
@@ -279,6 +285,7 @@
 		return
 	}
 	p.acknowledge(m.GetIndex())
+	c.measureLag(p)
 	if p.state == Probe && m.GetIndex() > 0 {
 		p.state, p.paused = Replicate, false
 	}
@@ -286,6 +293,19 @@
 	c.advanceCommit()
 }
 
+// measureLag notes whether a peer is less than an election time behind. Under
+// a stream of commands a peer may be close and yet never hold the very last
+// committed entry at the moment that it is asked.
+func (c *core) measureLag(p *progress) {
+	if p.match < p.target {
+		return
+	}
+	if c.now.Sub(p.targetSet) < c.opt.Election {
+		p.caughtUpDeadline = c.now.Add(c.opt.Election)
+	}
+	p.target, p.targetSet = c.commit, c.now
+}
+
 func (c *core) rejected(m *wire.LogMessage, p *progress) {
 	if p.state == Transfer || m.GetIndex() <= p.match || m.GetIndex() >= p.next {
 		return
