--- a/internal/state/claim_test.go
+++ b/internal/state/claim_test.go
@@ -81,7 +81,7 @@
 	require.Equal(t, r.now.Add(48*time.Hour), first.Deadline)
 	next, ok := r.s.View().NextDeadline()
 	require.True(t, ok)
-	require.True(t, next.Before(first.Deadline), "plans were made before")
+	require.Equal(t, first.Deadline, next, "plans are kept for longer")
 	r.now = first.Deadline.Add(-time.Second)
 	r.must(Command{Expire: &Expire{}})
 	_, ok = r.s.View().Claim("linen", "k")
--- a/internal/state/confirm.go
+++ b/internal/state/confirm.go
@@ -104,7 +104,7 @@
 	for _, m := range g.marks {
 		d.commitMark(p, m)
 	}
-	d.plans.set(p.ID, &planRecord{Plan: p, Hash: rec.Hash, Made: rec.Made})
+	d.putSettled(rec, p)
 }
 
 func (d *data) commitJobs(plan string, g *draft) {
--- a/internal/state/fit.go
+++ b/internal/state/fit.go
@@ -42,7 +42,8 @@
 }
 
 // widest returns how many members of a shape the best place of the listed
-// fleet could hold if it were idle and healthy.
+// fleet could hold if it were idle and healthy. It looks no further once a
+// place holds the whole shape.
 func (d *data) widest(s model.Shape) int {
 	sums := map[place]int{}
 	best := 0
@@ -54,6 +55,9 @@
 		p := placeOf(w, s.Near)
 		sums[p] += n
 		best = max(best, sums[p])
+		if best >= s.Members {
+			break
+		}
 	}
 	return best
 }
--- a/internal/state/plan.go
+++ b/internal/state/plan.go
@@ -13,7 +13,11 @@
 )
 
 // keepPlans is how long the answer to an intent is kept for resends.
-const keepPlans = 30 * 24 * time.Hour
+const keepPlans = 7 * 24 * time.Hour
+
+// hashBytes is how much of an intent's SHA-256 is kept. A clash would only let
+// an operator get an older answer of their own.
+const hashBytes = 16
 
 // Verdict is what the scheduler finds about operations that are valid by
 // themselves.
@@ -71,7 +75,7 @@
 		return "", errors.Wrapf(ErrBadCommand, "hash intent: %v", err)
 	}
 	sum := sha256.Sum256(b)
-	return hex.EncodeToString(sum[:]), nil
+	return hex.EncodeToString(sum[:hashBytes]), nil
 }
 
 func (d *data) planIntent(c PlanIntent) Result {
@@ -149,11 +153,15 @@
 
 // planError returns the error that a plan's state stands for.
 func planError(p model.Plan) error {
+	var why model.Refusal
+	if len(p.Refusals) > 0 {
+		why = p.Refusals[0]
+	}
 	switch p.State {
 	case model.PlanRefused:
-		return errors.Wrapf(ErrRefused, "%s %s", p.Refusals[0].Field, p.Refusals[0].Reason)
+		return errors.Wrapf(ErrRefused, "%s %s", why.Field, why.Reason)
 	case model.PlanConflict:
-		return errors.Wrapf(ErrConflict, "%s %s", p.Refusals[0].Value, p.Refusals[0].Reason)
+		return errors.Wrapf(ErrConflict, "%s %s %s", why.Field, why.Value, why.Reason)
 	case model.PlanExpired:
 		return errors.Wrapf(ErrExpired, "at %s", p.Deadline)
 	}
@@ -171,11 +179,18 @@
 // settlePlan stores the final state of a plan and lets go of its operations.
 func (d *data) settlePlan(id string, s model.PlanState, refusals ...model.Refusal) {
 	old, _ := d.plans.get(id)
-	rec := *old
-	rec.Plan.State = s
-	rec.Plan.Refusals = refusals
+	p := old.Plan
+	p.State = s
+	p.Refusals = refusals
+	d.putSettled(*old, p)
+}
+
+// putSettled stores a plan in its final state.
+func (d *data) putSettled(rec planRecord, p model.Plan) {
+	rec.Plan = p
 	rec.Ops = nil
-	d.plans.set(id, &rec)
+	d.plans.set(p.ID, &rec)
+	d.due.drop(dueKey(p.Deadline, dueOpen, p.ID))
 }
 
 // lapsePlan marks an open plan whose deadline has passed as expired.
--- a/internal/state/restore.go
+++ b/internal/state/restore.go
@@ -215,6 +215,11 @@
 	if p.Plan.State == model.PlanOpen && len(p.Ops) == 0 {
 		return errors.Wrapf(ErrCorrupt, "open plan %q has no operations", p.Plan.ID)
 	}
+	for i, op := range p.Ops {
+		if op.Kind == model.OpSubmitJob && op.Job == nil {
+			return errors.Wrapf(ErrCorrupt, "plan %q: ops[%d] has no job", p.Plan.ID, i)
+		}
+	}
 	p.Plan.ID = r.one(p.Plan.ID)
 	p.Plan.Operator = r.one(p.Plan.Operator)
 	p.Plan.State = model.PlanState(r.one(string(p.Plan.State)))
--- a/internal/state/snap_test.go
+++ b/internal/state/snap_test.go
@@ -45,6 +45,8 @@
 func TestSnapshotIsACapture(t *testing.T) {
 	r := busy(t)
 	r.place("j3", 1)
+	r.carry(submit("j5", "linen", 1, true))
+	r.place("j5", 1)
 	before := r.snapshot()
 	write, err := r.s.Snapshot()
 	require.NoError(t, err)
@@ -58,7 +60,7 @@
 	_, ok := view.Job("a")
 	require.False(t, ok)
 	w, _ := view.Worker("w00")
-	require.Equal(t, []TaskRef{{Job: "j1"}, {Job: "j2"}, {Job: "j3"}}, w.Tasks)
+	require.Equal(t, []TaskRef{{Job: "j1"}, {Job: "j2"}, {Job: "j3"}, {Job: "j5"}}, w.Tasks)
 }
 
 func TestDamagedSnapshotIsRefused(t *testing.T) {
@@ -119,6 +121,7 @@
 	whole := string(busy(f).snapshot())
 	f.Add(whole[:strings.LastIndex(whole, `{"end"`)])
 	f.Add(`{"head":{"format":"knapweedlug-state","version":1}}` + "\n" + `{"job":{"id":"j","state":"running","status":["x"]}}`)
+	f.Add(`{"head":{"format":"knapweedlug-state","version":1}}` + "\n" + `{"plan":{"plan":{"id":"p20","operator":"ann","state":"open","deadline":"2027-01-01T00:00:00Z"},"ops":[{"kind":"submit-job"}]}}` + "\n" + `{"meta":{}}`)
 	f.Add(`{"head":{"format":"knapweedlug-state","version":1}}` + "\n" + `{"plan":{"plan":{"state":"open"}}}` + "\n" + `{"meta":{}}`)
 	f.Fuzz(func(t *testing.T, lines string) {
 		_ = New().Restore(strings.NewReader(lines))
@@ -142,16 +145,16 @@
 	r := rig{now: start.Add(time.Hour)}
 	cs := []Command{
 		{Lead: &Lead{}},
-		{Confirm: &ConfirmPlan{PlanID: "p16", Operator: "ann"}},
+		{Confirm: &ConfirmPlan{PlanID: "p20", Operator: "ann"}},
 		{Workers: &SetWorkers{Drop: []string{"w00"}}},
 		{Mark: &MarkWorker{Name: "w01", Mark: MarkLost}},
 		{Place: &PlaceJob{ID: "j3"}},
-		{Start: &StartJob{ID: "j2", Epoch: 8}},
-		{Report: &Report{Members: []MemberReport{{Job: "j1", Epoch: 5, State: MemberDone}}}},
-		{Stop: &StopJob{ID: "j1", Epoch: 5}},
-		{End: &EndJob{ID: "j1", Epoch: 5, State: "failed", Lapsed: true}},
+		{Start: &StartJob{ID: "j2", Epoch: 11}},
+		{Report: &Report{Members: []MemberReport{{Job: "j1", Epoch: 6, State: MemberDone}}}},
+		{Stop: &StopJob{ID: "j1", Epoch: 6}},
+		{End: &EndJob{ID: "j1", Epoch: 6, State: "failed", Lapsed: true}},
 		{Claim: &ClaimRequest{Team: "linen", Service: "rota", Key: "k1", Body: "h", Entry: "e", Attempt: "x"}},
-		{Settle: &SettleClaim{Team: "linen", Key: "k2", Epoch: 20, State: ClaimNotRun}},
+		{Settle: &SettleClaim{Team: "linen", Key: "k2", Epoch: 23, State: ClaimNotRun}},
 		{Expire: &Expire{Limit: 100}},
 	}
 	for i := range cs {
