--- a/internal/place/cost.go
+++ b/internal/place/cost.go
@@ -5,14 +5,15 @@
 // Sizes and weights of the future shapes that a placement should leave whole:
 // a worker's part, and pairs and eights of whole workers in a rack or domain.
 const (
-	pairInRack     = 2
-	eightInDomain  = 8
-	weightWorker   = 16
-	weightRack     = 16
-	weightDomain   = 8
-	weightPart     = 1
-	speedPenalty   = 4
-	referenceSpeed = 1.0
+	pairInRack    = 2
+	eightInDomain = 8
+	weightWorker  = 16
+	weightRack    = 16
+	weightDomain  = 8
+	weightPart    = 1
+	speedPenalty  = 4 // for unequal speeds within a gang, per unit of speed
+	speedGain     = 2 // for fast workers, per accelerator and unit of speed
+	pinLoss       = 8 // for unstoppable work on a worker that holds none
 )
 
 var partSizes = [...]int{1, 2, 4}
@@ -64,6 +65,10 @@
 		return c
 	}
 	c.loss = float64(partLoss(free, accels)) + weightPart*float64(free-accels)/float64(max(n.cap.Accels, 1))
+	c.loss -= speedGain * n.w.Speed * float64(accels)
+	if v == Firm.index() && n.whole(Hard.index()) {
+		c.loss += pinLoss
+	}
 	if n.whole(v) {
 		k, d := n.rack.whole[v], n.domain.whole[v]
 		c.loss += weightWorker * (1 - float64(accels)/float64(n.cap.Accels))
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/google/btree"
@@ -300,3 +301,37 @@
 	}
 	return min(most, s.Members)
 }
+
+// Broken returns up to most ready workers that running and claimed work uses at
+// most half the accelerators of, the least used first.
+func (f *Fleet) Broken(most int) []string {
+	type broken struct {
+		name string
+		used int
+	}
+	var bs []broken
+	for _, p := range f.pools {
+		for a := p.key.accels - 1; a >= (p.key.accels+1)/2 && a > 0; a-- {
+			left := most
+			p.views[Soft.index()][a].Ascend(func(e entry) bool {
+				bs = append(bs, broken{e.name, p.key.accels - a})
+				left--
+				return left > 0
+			})
+		}
+	}
+	slices.SortFunc(bs, func(a, b broken) int {
+		return cmp.Or(cmp.Compare(a.used, b.used), cmp.Compare(a.name, b.name))
+	})
+	names := make([]string, 0, most)
+	for _, b := range bs[:min(most, len(bs))] {
+		names = append(names, b.name)
+	}
+	return names
+}
+
+// Whole reports whether all accelerators of the worker are free.
+func (f *Fleet) Whole(worker string) bool {
+	n, ok := f.nodes[worker]
+	return ok && n.indexed && n.whole(Soft.index())
+}
--- /dev/null
+++ b/internal/place/place_test.go
@@ -0,0 +1,161 @@
+package place
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+func worker(domain, rack, i, accels int) model.Worker {
+	return model.Worker{
+		Name: fmt.Sprintf("w%02d", i), Rack: fmt.Sprintf("k%d", rack), Domain: fmt.Sprintf("d%d", domain), Region: "r",
+		Cores: 32, Memory: 1 << 37, Accels: accels, Kind: "a", Speed: 1, State: model.WorkerReady,
+	}
+}
+
+// fits tells, by looking at every worker, whether one scope has room for all
+// members of the shape.
+func fits(ws []model.Worker, used map[string]Need, s model.Shape) bool {
+	rooms := make(map[string]int)
+	for _, w := range ws {
+		if w.State != model.WorkerReady || (s.Kind != "" && s.Kind != w.Kind) {
+			continue
+		}
+		key := ScopeOf(s.Near, w)
+		rooms[key] += NeedOf(s).Into(Capacity(w).Sub(used[w.Name]), s.Members)
+		if rooms[key] >= s.Members {
+			return true
+		}
+	}
+	return false
+}
+
+// TestFindIsComplete compares the index with a look at every worker: Find finds
+// room exactly where there is some, and only returns whole, adjacent gangs.
+func TestFindIsComplete(t *testing.T) {
+	nears := []model.Near{model.NearWorker, model.NearRack, model.NearDomain, model.NearAny}
+	rapid.Check(t, func(t *rapid.T) {
+		f := New(rapid.SampledFrom([]Policy{Gradient, BestFit, FirstFit}).Draw(t, "policy"))
+		ws := make([]model.Worker, rapid.IntRange(1, 60).Draw(t, "workers"))
+		for i := range ws {
+			ws[i] = worker(i/9, i/3, i, rapid.SampledFrom([]int{0, 4, 8}).Draw(t, "accels"))
+			ws[i].Speed = rapid.SampledFrom([]float64{0.5, 1}).Draw(t, "speed")
+			ws[i].Kind = rapid.SampledFrom([]string{"a", "b"}).Draw(t, "kind")
+			f.SetWorker(ws[i])
+		}
+		used := make(map[string]Need)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			s := model.Shape{
+				Members: rapid.IntRange(1, 12).Draw(t, "members"),
+				Cores:   rapid.IntRange(0, 16).Draw(t, "cores"),
+				Accels:  rapid.IntRange(0, 8).Draw(t, "accels"),
+				Memory:  int64(rapid.IntRange(0, 64).Draw(t, "memory")) << 30,
+				Near:    rapid.SampledFrom(nears).Draw(t, "near"),
+				Kind:    rapid.SampledFrom([]string{"", "a"}).Draw(t, "kind"),
+			}
+			i := rapid.IntRange(0, len(ws)-1).Draw(t, "changed")
+			ws[i].State = rapid.SampledFrom([]model.WorkerState{model.WorkerReady, model.WorkerReady, model.WorkerLost}).Draw(t, "state")
+			f.SetWorker(ws[i])
+			cells, ok := f.Find(Query{Shape: s, View: Soft})
+			require.Equal(t, fits(ws, used, s), ok, "%s on %d workers", s, len(ws))
+			require.Equal(t, ok, f.Most(s) == s.Members)
+			require.Equal(t, ok, len(Members(cells)) == s.Members)
+			f.Take(Running, cells, NeedOf(s))
+			scopes := make(map[string]bool)
+			for _, c := range cells {
+				w, _ := f.Worker(c.Worker)
+				scopes[ScopeOf(s.Near, w)] = true
+				used[c.Worker] = used[c.Worker].Add(NeedOf(s).Times(c.Count))
+				require.True(t, used[c.Worker].Fits(Capacity(w)), "%s is full", c.Worker)
+			}
+			require.LessOrEqual(t, len(scopes), 1)
+			if rapid.Bool().Draw(t, "give back") {
+				f.Give(Running, cells, NeedOf(s))
+				for _, c := range cells {
+					used[c.Worker] = used[c.Worker].Sub(NeedOf(s).Times(c.Count))
+				}
+			}
+		}
+	})
+}
+
+// whole counts gangs of 8 on a worker and pairs of them in a rack that still
+// fit, each weighted by its accelerators.
+func whole(f *Fleet) int {
+	return 8*f.Count(model.Shape{Members: 1, Accels: 8, Near: model.NearWorker}) +
+		16*f.Count(model.Shape{Members: 2, Accels: 8, Near: model.NearRack})
+}
+
+// best returns what the best of all placements of the jobs leaves whole.
+func best(f *Fleet, names []string, jobs []int) int {
+	if len(jobs) == 0 {
+		return whole(f)
+	}
+	most := -1
+	need := Need{Cores: 1, Accels: jobs[0]}
+	for _, name := range names {
+		if !need.Fits(f.Free(name, Soft)) {
+			continue
+		}
+		cells := []Cell{{name, 1}}
+		f.Take(Running, cells, need)
+		most = max(most, best(f, names, jobs[1:]))
+		f.Give(Running, cells, need)
+	}
+	return most
+}
+
+// greedy places the jobs one by one by the policy.
+func greedy(t *testing.T, p Policy, ws []model.Worker, taken []Cell, jobs []int) int {
+	f := New(p)
+	for _, w := range ws {
+		f.SetWorker(w)
+	}
+	f.Take(Running, taken, Need{Cores: 1, Accels: 1})
+	for _, a := range jobs {
+		s := model.Shape{Members: 1, Cores: 1, Accels: a, Near: model.NearWorker}
+		cells, ok := f.Find(Query{Shape: s, View: Soft})
+		require.True(t, ok)
+		f.Take(Running, cells, NeedOf(s))
+	}
+	return whole(f)
+}
+
+// TestNearOptimum compares what placements leave whole with the optimum found
+// by trying all placements on small fleets.
+func TestNearOptimum(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 6))
+	var optimum, gradient, bestFit, firstFit int
+	for range 150 {
+		ws := make([]model.Worker, 6)
+		names := make([]string, len(ws))
+		var taken []Cell
+		f := New(Gradient)
+		for i := range ws {
+			ws[i] = worker(0, i/2, i, 8)
+			names[i] = ws[i].Name
+			f.SetWorker(ws[i])
+			if r.IntN(2) == 0 {
+				taken = append(taken, Cell{names[i], 1 + r.IntN(5)})
+			}
+		}
+		f.Take(Running, taken, Need{Cores: 1, Accels: 1})
+		jobs := make([]int, 4)
+		for i := range jobs {
+			jobs[i] = 1 << r.IntN(3)
+		}
+		optimum += best(f, names, jobs)
+		gradient += greedy(t, Gradient, ws, taken, jobs)
+		bestFit += greedy(t, BestFit, ws, taken, jobs)
+		firstFit += greedy(t, FirstFit, ws, taken, jobs)
+	}
+	t.Logf("left whole, accelerators: optimum %d, gradient %d, best fit %d, first fit %d", optimum, gradient, bestFit, firstFit)
+	require.GreaterOrEqual(t, gradient*100, optimum*95)
+	require.Greater(t, gradient, bestFit)
+	require.Greater(t, gradient, firstFit)
+}
--- a/internal/sched/borrow.go
+++ b/internal/sched/borrow.go
@@ -74,10 +74,20 @@
 	}
 	j.cells = cells
 	s.startNow(j, now, "free capacity outside guarantees")
-	j.backfilled = behind
+	j.backfilled = behind || s.onReserved(j)
 	return true
 }
 
+// onReserved reports whether the job lies on room reserved for another.
+func (s *Sched) onReserved(j *job) bool {
+	for _, c := range j.cells {
+		if _, ok := s.reservedAt(c.Worker, j); ok {
+			return true
+		}
+	}
+	return false
+}
+
 // avoid keeps a job off workers that it failed on and, if it would most likely
 // have to be stopped soon, off workers that are reserved.
 func (s *Sched) avoid(j *job, now time.Time) func(string) bool {
--- a/internal/sched/check.go
+++ b/internal/sched/check.go
@@ -23,7 +23,6 @@
 	s        *Sched
 	now      time.Time
 	report   Report
-	teams    map[string]model.Team
 	jobs     map[string]bool // submitted by earlier operations
 	unitsAt  map[*unit][]place.Cell
 	jobsAt   map[*job]*unit
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -22,6 +22,7 @@
 	s.redeemClaims(now)
 	s.guaranteed(now)
 	s.borrow(now)
+	s.tidy(now)
 	ds := slices.DeleteFunc(s.pending, s.outdated)
 	s.pending = nil
 	return ds
--- a/internal/sched/drive/fleet.go
+++ b/internal/sched/drive/fleet.go
@@ -27,21 +27,17 @@
 // Today returns a fleet of today: 10 workers with 8 accelerators each, three to
 // a rack, in three failure domains, of unequal speed.
 func Today() []model.Worker {
-	return fleet(10, domains, 1, func(int) int { return accels })
+	return fleet(10, domains, 1, 1)
 }
 
 // Planned returns a fleet of n workers in two regions of four failure domains.
-// Every fourth worker has 8 accelerators.
+// Every fourth rack has workers with 8 accelerators.
 func Planned(n int) []model.Worker {
-	return fleet(n, largeDomains, regions, func(i int) int {
-		if (i/rackSize)%accelEvery == 0 {
-			return accels
-		}
-		return 0
-	})
+	return fleet(n, largeDomains, regions, accelEvery)
 }
 
-func fleet(n, domains, regions int, accelsOf func(int) int) []model.Worker {
+// fleet returns workers of which one rack in every so many has accelerators.
+func fleet(n, domains, regions, every int) []model.Worker {
 	ws := make([]model.Worker, n)
 	racks := (n + rackSize - 1) / rackSize
 	for i := range ws {
@@ -54,11 +50,13 @@
 			Region: fmt.Sprintf("r%d", domain*regions/domains),
 			Cores:  cores,
 			Memory: memory,
-			Accels: accelsOf(i),
 			Kind:   "a",
-			Speed:  yearSpeeds[rack%len(yearSpeeds)],
+			Speed:  yearSpeeds[rack/every%len(yearSpeeds)],
 			State:  model.WorkerReady,
 		}
+		if rack%every == 0 {
+			ws[i].Accels = accels
+		}
 	}
 	return ws
 }
--- a/internal/sched/drive/run.go
+++ b/internal/sched/drive/run.go
@@ -18,6 +18,7 @@
 	shortestJob  = 10 * time.Second // run time that slowdown is measured against at least
 	slowestCost  = time.Minute      // highest decision time that the histogram holds
 	histoDigits  = 3
+	exactProbes  = 100 // workers up to which the layout is probed at every event
 	secondsInDay = 86400
 )
 
@@ -140,7 +141,7 @@
 func (r *run) probe(now time.Time) {
 	span := now.Sub(r.last).Seconds()
 	last := r.as[len(r.as)-1].Job.Submitted
-	if span <= 0 || now.After(last) {
+	if span <= 0 || now.After(last) || (len(r.speed) > exactProbes && span < tick.Seconds()) {
 		return
 	}
 	r.last = now
--- a/internal/sched/migrate.go
+++ b/internal/sched/migrate.go
@@ -65,6 +65,11 @@
 
 // findElsewhere reports whether every victim finds room outside the cells.
 func (s *Sched) findElsewhere(c clearing) bool {
+	return s.findRoom(c, func(string) bool { return false })
+}
+
+// findRoom is findElsewhere that leaves out some more workers.
+func (s *Sched) findRoom(c clearing, avoid func(string) bool) bool {
 	taken := make(map[string]bool, len(c.cells))
 	for _, cell := range c.cells {
 		taken[cell.Worker] = true
@@ -76,7 +81,7 @@
 		cells, found := s.fleet.Find(place.Query{
 			Shape: v.Shape,
 			View:  place.Soft,
-			Avoid: func(w string) bool { return taken[w] || v.avoids(w) },
+			Avoid: func(w string) bool { return taken[w] || v.avoids(w) || avoid(w) },
 		})
 		if !found {
 			ok = false
--- a/internal/sched/reserve.go
+++ b/internal/sched/reserve.go
@@ -92,11 +92,20 @@
 		return
 	}
 	s.searched = now
-	if cells, at, ok := s.earliest(j, now); ok {
+	if cells, at, ok := s.earliest(j, now, s.reservedFor); ok {
 		s.reserve(j, cells, at.Add(s.opt.Grace))
 	}
 }
 
+// reservedFor reports whether the worker is reserved for another job. Two
+// reservations on one worker would wait for each other.
+func (s *Sched) reservedFor(worker string, j *job) bool {
+	_, reserved := s.reservedAt(worker, j)
+	return reserved
+}
+
+func anywhere(string, *job) bool { return false }
+
 // redeem claims the reserved place once only work that started there after the
 // reservation is left on it.
 func (s *Sched) redeem(h *hold, now time.Time) bool {
@@ -148,10 +157,10 @@
 
 // earliest returns where and when the whole gang can be expected to find room,
 // from what runs now and how long such work has taken so far.
-func (s *Sched) earliest(j *job, now time.Time) ([]place.Cell, time.Time, bool) {
+func (s *Sched) earliest(j *job, now time.Time, skip func(string, *job) bool) ([]place.Cell, time.Time, bool) {
 	var best []opening
 	for _, scope := range s.fleet.Scopes(j.Shape) {
-		os := s.openings(j, scope, now)
+		os := s.openings(j, scope, now, skip)
 		n, sum := 0, 0
 		for n < len(os) && sum < j.Shape.Members {
 			sum += os[n].members
@@ -183,10 +192,10 @@
 	return mergeCells(cells)
 }
 
-func (s *Sched) openings(j *job, workers []string, now time.Time) []opening {
+func (s *Sched) openings(j *job, workers []string, now time.Time, skip func(string, *job) bool) []opening {
 	var os []opening
 	for _, w := range workers {
-		if !j.avoids(w) {
+		if !skip(w, j) && !j.avoids(w) {
 			os = append(os, s.openingsOn(j, w, now)...)
 		}
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -35,6 +35,7 @@
 	possible   map[model.Shape]bool // answers of the empty fleet
 	tried      time.Time            // last attempt to make room for a starving gang
 	searched   time.Time            // last search for room to reserve
+	tidied     time.Time            // last attempt to free a whole worker
 	repaired   uint64               // the fleet's Freed at the last vain repair
 }
 
@@ -79,7 +80,7 @@
 	s.learned = newLearned()
 	s.failed = make(memo)
 	s.possible = make(map[model.Shape]bool)
-	s.tried, s.searched = time.Time{}, time.Time{}
+	s.tried, s.searched, s.tidied = time.Time{}, time.Time{}, time.Time{}
 	s.repaired = 0
 }
 
--- /dev/null
+++ b/internal/sched/tidy.go
@@ -0,0 +1,73 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/knapweedlug/knapweedlug/internal/place"
+)
+
+const (
+	tidyEvery = 10 * time.Second // between two attempts
+	tidyMost  = 16               // workers that are looked at
+	tidyWorth = 3                // times its cost that moved work must still run for
+)
+
+// tidy moves stoppable work off a worker that little of is used, where that
+// work finds room on workers that are broken anyway. A whole worker is left.
+func (s *Sched) tidy(now time.Time) {
+	if s.opt.NoMigration || s.opt.Strict || len(s.claims) > 0 || now.Sub(s.tidied) < tidyEvery {
+		return
+	}
+	s.tidied = now
+	for _, w := range s.fleet.Broken(tidyMost) {
+		if s.tidyWorker(w, now) {
+			return
+		}
+	}
+}
+
+func (s *Sched) tidyWorker(worker string, now time.Time) bool {
+	if _, reserved := s.reservedAt(worker, &job{}); reserved {
+		return false
+	}
+	var c clearing
+	for _, v := range sortedJobs(s.on[worker]) {
+		if v.Shape.Accels == 0 {
+			continue
+		}
+		if !s.worthMoving(v, now) {
+			return false
+		}
+		c.victims = append(c.victims, v)
+	}
+	for _, v := range c.victims {
+		for _, cell := range v.cells {
+			c.cells = append(c.cells, place.Cell{Worker: cell.Worker})
+		}
+	}
+	if len(c.victims) == 0 || !s.findBroken(c) {
+		return false
+	}
+	for _, v := range c.victims {
+		v.moved++
+		s.stop(v, now, true, "moved to leave worker "+worker+" whole")
+	}
+	return true
+}
+
+// worthMoving reports whether the job can be moved and will most likely run for
+// much longer than the move takes.
+func (s *Sched) worthMoving(v *job, now time.Time) bool {
+	if !v.borrowing() || v.stopping || v.phase != placed || v.moved >= movedMost {
+		return false
+	}
+	mid, _ := s.expect(v.Job)
+	left := time.Duration(float64(mid)/s.pace(v.cells)) - now.Sub(v.placedAt)
+	return left > tidyWorth*moveCost*s.opt.Grace
+}
+
+// findBroken reports whether every victim finds room on workers that are broken
+// already.
+func (s *Sched) findBroken(c clearing) bool {
+	return s.findRoom(c, s.fleet.Whole)
+}
--- /dev/null
+++ b/internal/sched/wait_test.go
@@ -0,0 +1,254 @@
+package sched
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+// span is how much longer than declared nearly all jobs run while nothing has
+// been learned. Run times drawn below it keep what the scheduler expects true.
+const span = 3
+
+// play runs a world in steps: jobs end when their run time is over, and stopped
+// ones are queued again when the time for their checkpoint is.
+type play struct {
+	*world
+	runs map[string]time.Duration
+	left map[string]time.Duration // until a stopping job has stopped
+}
+
+const playStep = 10 * time.Second
+
+func newPlay(w *world) *play {
+	return &play{world: w, runs: make(map[string]time.Duration), left: make(map[string]time.Duration)}
+}
+
+func (p *play) submit(j model.Job, run time.Duration) {
+	p.runs[j.ID] = run
+	p.setJob(j)
+}
+
+func (p *play) step() {
+	p.now = p.now.Add(playStep)
+	for _, id := range slices.Sorted(maps.Keys(p.jobs)) {
+		j := p.jobs[id]
+		switch {
+		case j.State == model.JobRunning && !p.now.Before(j.Started.Add(p.runs[id])):
+			p.end(id, model.JobDone)
+		case j.State == model.JobStopping:
+			if p.left[id] -= playStep; p.left[id] <= 0 {
+				p.requeue(id)
+			}
+		}
+	}
+	for _, d := range p.decide() {
+		if d.Kind == Stop {
+			p.left[d.Job] = 2 * playStep
+		}
+	}
+}
+
+// TestBackfillKeepsPromise draws running work, a gang that finds no room and
+// jobs that come after it. Once the gang has been promised a start, none of
+// them delays it.
+func TestBackfillKeepsPromise(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newPlay(newWorld(t, Options{NoMigration: true}, todays()[:3]...))
+		draw := func(id string, now time.Time) {
+			declared := time.Duration(rapid.IntRange(1, 30).Draw(t, "minutes")) * time.Minute
+			j := gang(id, "t", shape(1, rapid.SampledFrom([]int{1, 2, 4}).Draw(t, "accels"), model.NearWorker), now)
+			j.EstimateMs = declared.Milliseconds()
+			j.Stoppable = rapid.Bool().Draw(t, "stoppable")
+			j.Attempts = 1 // nothing is learned from it, so expectations stay true
+			p.submit(j, declared*time.Duration(rapid.IntRange(1, 10*span).Draw(t, "tenths"))/10)
+		}
+		for i := range 12 {
+			draw(fmt.Sprintf("old%02d", i), p.now)
+		}
+		p.step()
+		head := gang("head", "t", shape(rapid.IntRange(1, 3).Draw(t, "members"), 8, model.NearRack), p.now)
+		head.Urgency, head.EstimateMs = model.Urgent, time.Minute.Milliseconds()
+		head.Stoppable = rapid.Bool().Draw(t, "stoppable head")
+		p.submit(head, time.Minute)
+		var promise time.Time
+		for i := 0; !holds(p.jobs["head"].State) && p.jobs["head"].ID != ""; i++ {
+			require.Less(t, i, 3000, "the gang never starts")
+			if h := p.s.held["head"]; h != nil && promise.IsZero() {
+				promise = h.at
+			}
+			if i%3 == 0 {
+				draw(fmt.Sprintf("new%04d", i), p.now)
+			}
+			p.step()
+		}
+		if !promise.IsZero() {
+			require.False(t, p.now.After(promise.Add(2*playStep)), "promised for %v, starts at %v", promise, p.now)
+		}
+	})
+}
+
+// TestLargeGangsAge has a large gang wait among a stream of small jobs that
+// would take every accelerator as it becomes free.
+func TestLargeGangsAge(t *testing.T) {
+	p := newPlay(newWorld(t, Options{NoMigration: true}, todays()...))
+	small := func(i int) {
+		j := gang(fmt.Sprintf("s%05d", i), fmt.Sprintf("t%d", i%3), shape(1, 2, model.NearWorker), p.now)
+		j.EstimateMs = (20 * time.Minute).Milliseconds()
+		j.Stoppable = i%2 == 0
+		p.submit(j, 20*time.Minute)
+	}
+	for i := range 60 {
+		small(i)
+	}
+	p.step()
+	p.submit(gang("large", "big", shape(3, 8, model.NearRack), p.now), time.Hour)
+	began := p.now
+	for i := 100; !holds(p.jobs["large"].State); i++ {
+		if i%4 == 0 {
+			small(i)
+		}
+		p.step()
+		require.Less(t, p.now.Sub(began), 4*time.Hour, "the large gang starves")
+	}
+	p.check()
+}
+
+// TestTwoGangs has two gangs each want more than half of a rack at once.
+func TestTwoGangs(t *testing.T) {
+	p := newPlay(newWorld(t, Options{}, todays()[:3]...))
+	for _, id := range []string{"a", "b"} {
+		j := gang(id, id, shape(2, 8, model.NearRack), p.now)
+		j.Stoppable = false
+		p.submit(j, time.Minute)
+	}
+	p.step()
+	running := 0
+	for _, j := range p.jobs {
+		if holds(j.State) {
+			require.Len(t, j.Members, 2)
+			running++
+		}
+	}
+	require.Equal(t, 1, running, "one runs whole, the other holds nothing")
+	for range 20 {
+		p.step()
+	}
+	require.Empty(t, p.jobs, "both have run")
+}
+
+// broken returns a world of two workers, half used each by two stoppable jobs.
+func broken(t *testing.T, opt Options) *world {
+	w := newWorld(t, opt, todays()[:2]...)
+	w.setTeam(model.Team{Name: "t", Weight: 1})
+	for i := range 4 {
+		w.setJob(gang(fmt.Sprintf("j%d", i), "t", shape(1, 4, model.NearWorker), w.now))
+	}
+	w.decide()
+	for id, j := range w.jobs {
+		if other, first := j.Members[0].Worker, slices.Sorted(maps.Keys(w.workers))[0]; (other == first) == (id < "j2") && id != "j0" && id != "j2" {
+			w.end(id, model.JobDone)
+		}
+	}
+	left := make(map[string]int)
+	for _, j := range w.jobs {
+		left[j.Members[0].Worker]++
+	}
+	require.Len(t, left, 2, "each worker is half used: %v", left)
+	return w
+}
+
+// TestMigration checks that work moves when that lets a starving gang start,
+// and only then.
+func TestMigration(t *testing.T) {
+	for _, off := range []bool{false, true} {
+		w := broken(t, Options{NoMigration: off})
+		w.s.tidied = w.now.Add(24 * time.Hour)
+		w.setJob(gang("gang", "t", shape(1, 8, model.NearWorker), w.now))
+		require.Empty(t, w.decide(), "it waits for a while first")
+		w.now = w.now.Add(Defaults().Patience)
+		ds := w.decide()
+		if off {
+			require.Empty(t, ds)
+			continue
+		}
+		require.Equal(t, map[Kind]int{Stop: 1}, kinds(ds))
+		require.True(t, ds[0].Checkpoint)
+		w.settle()
+		for id, j := range w.jobs {
+			require.True(t, holds(j.State), id)
+		}
+		w.check()
+	}
+}
+
+// TestTidy checks that work moves off a hardly used worker, so that a whole one
+// is left, while it still has long to run.
+func TestTidy(t *testing.T) {
+	w := broken(t, Options{})
+	require.Equal(t, 0, w.s.Fragmentation().Gangs[0].Fits)
+	w.now = w.now.Add(tidyEvery)
+	require.Equal(t, map[Kind]int{Stop: 1}, kinds(w.decide()))
+	w.settle()
+	require.Equal(t, 1, w.s.Fragmentation().Gangs[0].Fits)
+
+	w = broken(t, Options{})
+	w.now = w.now.Add(59 * time.Minute)
+	require.Empty(t, w.decide(), "what ends soon isn't moved")
+}
+
+// TestDeadlines checks that a deadline within a guarantee is met or refused at
+// submission with the earliest start.
+func TestDeadlines(t *testing.T) {
+	p := newPlay(newWorld(t, Options{}, todays()...))
+	p.setTeam(holding("linen", 1, shape(1, 8, model.NearWorker)))
+	fillBorrowed(p.world, true)
+	for id := range p.jobs {
+		p.runs[id] = 100 * time.Hour
+	}
+	due := func(id string, by time.Duration) model.Job {
+		j := gang(id, "linen", shape(1, 8, model.NearWorker), p.now)
+		j.Deadline = p.now.Add(by)
+		return j
+	}
+	first := due("first", 62*time.Minute)
+	r := p.s.Check([]model.Op{{Kind: model.OpSubmitJob, Job: &first}}, p.now)
+	require.Empty(t, r.Refusals)
+	require.Len(t, r.Preempts, 1)
+	require.Equal(t, p.now.Add(Defaults().Grace), r.Starts["first"])
+	p.submit(first, time.Hour)
+	p.step()
+	second := due("second", 90*time.Minute)
+	r = p.s.Check([]model.Op{{Kind: model.OpSubmitJob, Job: &second}}, p.now)
+	require.Len(t, r.Refusals, 1)
+	require.Equal(t, "ops[0].job.deadline", r.Refusals[0].Field)
+	require.Contains(t, r.Refusals[0].Reason, "earliest start")
+	for p.jobs["first"].ID != "" {
+		p.step()
+	}
+	require.False(t, p.now.After(first.Deadline))
+}
+
+// TestLearnsRunTimes checks that wrong declarations are corrected by team.
+func TestLearnsRunTimes(t *testing.T) {
+	p := newPlay(newWorld(t, Options{}, todays()...))
+	for i := range learnEnough {
+		p.submit(gang(fmt.Sprintf("j%d", i), "t", shape(1, 1, model.NearWorker), p.now), 10*time.Minute)
+	}
+	for range 70 {
+		p.step()
+	}
+	require.Empty(t, p.jobs)
+	mid, _ := p.s.expect(gang("x", "t", shape(1, 1, model.NearWorker), p.now))
+	require.Greater(t, mid, 3*time.Minute)
+	require.Less(t, mid, 20*time.Minute, "an hour is declared, ten minutes are needed")
+	other, _ := p.s.expect(gang("x", "u", shape(1, 1, model.NearWorker), p.now))
+	require.Equal(t, time.Hour, other)
+}
