--- a/internal/admit/options.go
+++ b/internal/admit/options.go
@@ -22,7 +22,7 @@
 		o.WaitShare = 0.25
 	}
 	if o.LongWait == 0 {
-		o.LongWait = 10 * time.Second
+		o.LongWait = 30 * time.Second
 	}
 	return o
 }
--- a/internal/load/credits.go
+++ b/internal/load/credits.go
@@ -1,11 +1,11 @@
 package load
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/knapweedlug/knapweedlug/internal/admit"
 	"github.com/knapweedlug/knapweedlug/internal/route"
+	"github.com/knapweedlug/knapweedlug/internal/trace"
 	"github.com/knapweedlug/knapweedlug/pkg/model"
 )
 
@@ -85,9 +85,6 @@
 	return e
 }
 
-func entryName(i int) string  { return "entry-" + strconv.Itoa(i) }
-func serverName(i int) string { return "minion-" + strconv.Itoa(i) }
-
 // Arrive implements Policy.
 func (c *credits) Arrive(j *Job) {
 	e := c.entries[j.Entry]
@@ -101,7 +98,9 @@
 	if !c.classes {
 		r.Declared = ""
 	}
+	c.w.record(arriveEvent(j, r))
 	if err := e.queue.Push(r, c.w.Now()); err != nil {
+		c.w.record(refuseEvent(j.ID, err))
 		c.w.End(j, false)
 		return
 	}
@@ -122,6 +121,7 @@
 		if !ok {
 			panic("a request was popped that no credit accepts")
 		}
+		c.w.record(trace.Event{Kind: trace.Send, ID: r.ID, Server: credit.Server, Slot: credit.ID})
 		c.w.Send(func() { c.take(e, credit, r) })
 	}
 	c.report(e)
@@ -135,6 +135,7 @@
 	if err != nil {
 		c.Bounced++
 		c.w.Send(func() {
+			c.w.record(trace.Event{Kind: trace.Return, ID: r.ID, Server: credit.Server})
 			e.picker.Return(credit.Server)
 			e.queue.Requeue(r.ID, c.w.Now())
 			c.dispatch(e)
@@ -155,7 +156,9 @@
 	c.w.Send(func() {
 		now := c.w.Now()
 		result := route.Result{Expected: e.queue.Expected(r), Took: took, OK: true}
-		e.queue.Done(r, e.picker.Done(credit.Server, result, now), admit.Answer, now)
+		mean := e.picker.Done(credit.Server, result, now)
+		e.queue.Done(r, mean, admit.Answer, now)
+		c.w.record(trace.Event{Kind: trace.Answer, ID: r.ID, Server: credit.Server, Took: mean.Microseconds()})
 		c.w.End(e.jobs[r.ID], true)
 		delete(e.jobs, r.ID)
 		c.dispatch(e)
@@ -165,8 +168,7 @@
 // deliver sends grants and revokes to the entries.
 func (c *credits) deliver(a *agent, steps []route.Step) {
 	for _, step := range steps {
-		index, _ := strconv.Atoi(step.Grant.Entry[len("entry-"):])
-		e := c.entries[index]
+		e := c.entries[indexOf(step.Grant.Entry)]
 		credit := route.Credit{Server: serverName(a.server.Index), ID: step.Grant.ID, Class: step.Grant.Class}
 		c.w.Send(func() {
 			if step.Kind == route.StepRevoke {
@@ -202,6 +204,7 @@
 func (c *credits) tick() {
 	for _, e := range c.entries {
 		for _, r := range e.queue.Expire(c.w.Now()) {
+			c.w.record(refuseEvent(r.ID, admit.ErrTooLate))
 			c.w.End(e.jobs[r.ID], false)
 			delete(e.jobs, r.ID)
 		}
@@ -219,6 +222,5 @@
 }
 
 func (c *credits) agentOf(credit route.Credit) *agent {
-	index, _ := strconv.Atoi(credit.Server[len("minion-"):])
-	return c.agents[index]
+	return c.agents[indexOf(credit.Server)]
 }
--- a/internal/load/crest.go
+++ b/internal/load/crest.go
@@ -37,8 +37,13 @@
 // Crest returns a crest of three times the capacity for a minute, with a calm
 // time before and after it.
 func Crest(seed uint64) Scenario {
+	return CrestOf(seed, servers, CrestStart, CrestEnd, CrestFinish)
+}
+
+// CrestOf returns a crest from start to end for a number of backend servers.
+func CrestOf(seed uint64, count int, start, end, finish time.Duration) Scenario {
 	s := Scenario{
-		Name: "crest", Seed: seed, Entries: entries, Servers: servers, Spread: spread, Drift: drift,
+		Name: "crest", Seed: seed, Entries: entries, Servers: count, Spread: spread, Drift: drift,
 		Teams: []model.Team{
 			{Name: "krakow", Slots: 24, Weight: 3},
 			{Name: "tarnow", Slots: 16, Weight: 2},
@@ -47,12 +52,15 @@
 		},
 		Service: model.Service{Name: "rota", ShortMs: 400, LimitMs: 15_000, Reserve: 1},
 	}
+	for i := range s.Teams {
+		s.Teams[i].Slots = s.Teams[i].Slots * count / servers
+	}
 	rng := rand.New(rand.NewPCG(seed, 1))
 	crowd, quiet := s.Teams[:3], s.Teams[3:]
-	s.addPart(rng, 0, CrestStart, calmLoad, crowd)
-	s.addPart(rng, CrestStart, CrestEnd, crestLoad, crowd)
-	s.addPart(rng, CrestEnd, CrestFinish, calmLoad, crowd)
-	s.addPart(rng, 0, CrestFinish, quietLoad, quiet)
+	s.addPart(rng, 0, start, calmLoad, crowd)
+	s.addPart(rng, start, end, crestLoad, crowd)
+	s.addPart(rng, end, finish, calmLoad, crowd)
+	s.addPart(rng, 0, finish, quietLoad, quiet)
 	return s
 }
 
--- a/internal/load/world.go
+++ b/internal/load/world.go
@@ -3,6 +3,8 @@
 import (
 	"container/heap"
 	"time"
+
+	"github.com/knapweedlug/knapweedlug/internal/trace"
 )
 
 // NetDelay is the delay of a message one way between an entry and an agent.
@@ -38,6 +40,9 @@
 	Servers  []*Server
 	Results  []Result
 
+	// Record, if set, is told what the project's own policy does.
+	Record func(trace.Event)
+
 	now    time.Duration
 	events events
 	seq    int
@@ -83,7 +88,12 @@
 
 // Run drives a policy with the jobs of a scenario.
 func Run(s Scenario, start func(*World) Policy) *World {
-	w := &World{Scenario: s, Servers: newServers(s), open: len(s.Jobs), runs: map[*Job]int{}}
+	return RunRecorded(s, start, nil)
+}
+
+// RunRecorded is Run with a function that is told each event.
+func RunRecorded(s Scenario, start func(*World) Policy, record func(trace.Event)) *World {
+	w := &World{Scenario: s, Record: record, Servers: newServers(s), open: len(s.Jobs), runs: map[*Job]int{}}
 	p := start(w)
 	w.policy = p
 	for i := range s.Jobs {
--- a/internal/trace/read.go
+++ b/internal/trace/read.go
@@ -137,9 +137,9 @@
 	var typeErr *json.UnmarshalTypeError
 	switch {
 	case errors.As(err, &typeErr):
-		return t.fail(typeErr.Field, errors.Mark(errors.Newf("%s isn't a %s", typeErr.Value, typeErr.Type), ErrBadValue))
+		return t.fail(typeErr.Field, errors.Wrapf(ErrBadValue, "%s for a %s", typeErr.Value, typeErr.Type))
 	case err != nil:
-		return t.fail("line", errors.Mark(err, ErrSyntax))
+		return t.fail("line", errors.Wrapf(ErrSyntax, "%v", err))
 	case dec.More():
 		return t.fail("line", ErrSyntax)
 	}
