--- a/internal/e2e/measure_test.go
+++ b/internal/e2e/measure_test.go
@@ -185,22 +185,42 @@
 	}
 }
 
-func measureAgents(b *testing.B, n int) {
-	c := newCluster(b, size{controls: 3, entries: 2, agents: 0, workers: n})
+// BenchmarkEntries measures what an agent uses as the number of entries grows
+// that it is connected to.
+func BenchmarkEntries(b *testing.B) {
+	for _, n := range []int{1, 2, 4, 8} {
+		b.Run(fmt.Sprintf("entries=%d", n), func(b *testing.B) {
+			c, stop := manyAgents(b, 20, n)
+			defer stop()
+			measure(b, c.agents, settleTime).report(b, "agent")
+		})
+	}
+}
+
+const settleTime = 10 * time.Second
+
+// manyAgents starts agents as processes of their own, with backend servers
+// inside this one.
+func manyAgents(b *testing.B, n, entries int) (c *cluster, stop func()) {
+	b.Helper()
+	c = newCluster(b, size{controls: 3, entries: entries, agents: 0, workers: n})
 	c.await()
 	c.setUp()
 	workers := c.workerNames()
-	var shared []*proc
 	for i := range n {
 		c.annAddr = append(c.annAddr, freePort(b))
-		shared = append(shared, run(b, fmt.Sprintf("agt%d", i+1), "knapd", "run", c.agentFile(i, workers[i])))
+		c.agents = append(c.agents, run(b, fmt.Sprintf("agt%d", i+1), "knapd", "run", c.agentFile(i, workers[i])))
 	}
-	c.agents = shared
-	stop := c.announceAll(b, n)
-	defer stop()
+	stop = c.announceAll(b, n)
 	c.awaitAgents(n)
 	time.Sleep(3 * time.Second)
-	over := 10 * time.Second
+	return c, stop
+}
+
+func measureAgents(b *testing.B, n int) {
+	c, stop := manyAgents(b, n, 2)
+	defer stop()
+	over := settleTime
 	leader := c.leader()
 	followers := []*proc{c.controls[(leader+1)%3], c.controls[(leader+2)%3]}
 	var g errgroup.Group
--- /dev/null
+++ b/internal/tool/capac/main.go
@@ -0,0 +1,72 @@
+// Command capac prints the tables of docs/CAPACITY.md anew from the output of
+// the benchmarks, so that the page can't drift from what was measured.
+//
+//	go run ./internal/tool/capac            # rewrites the page
+//	go run ./internal/tool/capac -check     # fails if the page differs
+package main
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+func main() {
+	page := flag.String("page", "docs/CAPACITY.md", "page whose tables are rewritten")
+	dir := flag.String("figures", "docs/figures", "folder with the benchmarks' output")
+	check := flag.Bool("check", false, "fail if the page differs")
+	flag.Parse()
+	if err := run(*page, *dir, *check); err != nil {
+		fmt.Fprintln(os.Stderr, "capac:", err)
+		os.Exit(1)
+	}
+}
+
+func run(page, dir string, check bool) error {
+	files, err := filepath.Glob(filepath.Join(dir, "*.txt"))
+	if err != nil {
+		return err
+	}
+	var all figures
+	for _, f := range files {
+		data, err := os.ReadFile(f)
+		if err != nil {
+			return err
+		}
+		all = append(all, parse(string(data))...)
+	}
+	old, err := os.ReadFile(page)
+	if err != nil {
+		return err
+	}
+	text := old
+	for name, table := range map[string]func(figures) (string, error){"slopes": slopeTable, "size": sizeTable} {
+		body, err := table(all)
+		if err != nil {
+			return err
+		}
+		if text, err = replace(text, name, body); err != nil {
+			return err
+		}
+	}
+	if check && !bytes.Equal(old, text) {
+		return fmt.Errorf("%s does not match the figures in %s; run go run ./internal/tool/capac", page, dir)
+	}
+	return os.WriteFile(page, text, 0o644)
+}
+
+// replace puts body between the page's marks of that name.
+func replace(page []byte, name, body string) ([]byte, error) {
+	begin, end := []byte("<!-- begin "+name+" -->\n"), []byte("<!-- end "+name+" -->")
+	i, j := bytes.Index(page, begin), bytes.Index(page, end)
+	if i < 0 || j < i {
+		return nil, fmt.Errorf("no marks for %q in the page", name)
+	}
+	var out bytes.Buffer
+	out.Write(page[:i+len(begin)])
+	out.WriteString(body)
+	out.Write(page[j:])
+	return out.Bytes(), nil
+}
--- /dev/null
+++ b/internal/tool/capac/table.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+)
+
+// series is a metric that was measured over a parameter.
+type series struct {
+	role, what    string
+	prefix, unit  string
+	of, shownUnit string
+}
+
+var measured = []series{
+	{"agent", "processor time", "BenchmarkEntries/entries=", "agent-cpu-%", "entry that it is connected to", "% of a core"},
+	{"agent", "bytes read and written", "BenchmarkEntries/entries=", "agent-KB/s", "entry that it is connected to", "KB/s"},
+	{"agent", "resident memory", "BenchmarkEntries/entries=", "agent-MB", "entry that it is connected to", "MB"},
+	{"entry", "processor time", "BenchmarkAgents/agents=", "entry-cpu-%", "connected agent", "% of a core"},
+	{"entry", "bytes read and written", "BenchmarkAgents/agents=", "entry-KB/s", "connected agent", "KB/s"},
+	{"entry", "resident memory", "BenchmarkAgents/agents=", "entry-MB", "connected agent", "MB"},
+	{"control, follower", "processor time", "BenchmarkAgents/agents=", "follower-cpu-%", "agent of the cluster, a third of them served here", "% of a core"},
+	{"control, follower", "bytes read and written", "BenchmarkAgents/agents=", "follower-KB/s", "agent of the cluster, a third of them served here", "KB/s"},
+	{"control, follower", "resident memory", "BenchmarkAgents/agents=", "follower-MB", "agent of the cluster, a third of them served here", "MB"},
+	{"control, leader", "processor time", "BenchmarkAgents/agents=", "leader-cpu-%", "agent of the cluster, a third of them served here", "% of a core"},
+	{"control, leader", "bytes read and written", "BenchmarkAgents/agents=", "leader-KB/s", "agent of the cluster, a third of them served here", "KB/s"},
+	{"control, leader", "resident memory", "BenchmarkAgents/agents=", "leader-MB", "agent of the cluster, a third of them served here", "MB"},
+}
+
+// slopeTable prints every measured slope with the range that it holds over.
+func slopeTable(fs figures) (string, error) {
+	var b strings.Builder
+	b.WriteString("| role | what | for each | slope | base | unit | measured from | to | farthest point off the line |\n|---|---|---|---|---|---|---|---|---|\n")
+	for _, s := range measured {
+		l, err := fs.fit(s.prefix, s.unit)
+		if err != nil {
+			return "", err
+		}
+		fmt.Fprintf(&b, "| %s | %s | %s | %.4g | %.4g | %s | %.0f | %.0f | %.0f %% |\n",
+			s.role, s.what, s.of, l.slope, l.base, s.shownUnit, l.low, l.high, 100*l.off)
+	}
+	return b.String(), nil
+}
+
+// Sizes of letter 1 and of the deployment that the page plans for them.
+const (
+	agents     = 13_000
+	entryLinks = 4  // entries that one agent is connected to
+	entryHosts = 40 // over both regions
+	controls   = 15
+	jobs       = 13_000 * 3 // kept for three days
+	plans      = (13_000 + 6_500) * 30
+	claims     = 1_000_000
+)
+
+// row is one line of the table of the planned size.
+type row struct {
+	role, what, sum string
+	value           float64
+	unit, limit     string
+}
+
+// sizeTable prints what each role needs at the planned size: slope times count.
+func sizeTable(fs figures) (string, error) {
+	rows, err := sizeRows(fs)
+	if err != nil {
+		return "", err
+	}
+	var b strings.Builder
+	b.WriteString("| role | what | sum | value | unit | limit |\n|---|---|---|---|---|---|\n")
+	for _, r := range rows {
+		fmt.Fprintf(&b, "| %s | %s | %s | %.4g | %s | %s |\n", r.role, r.what, r.sum, r.value, r.unit, r.limit)
+	}
+	return b.String(), nil
+}
+
+func sizeRows(fs figures) ([]row, error) {
+	var rows []row
+	add := func(role, what, unit, limit, prefix, metric string, n float64) error {
+		l, err := fs.fit(prefix, metric)
+		if err != nil {
+			return err
+		}
+		sum := fmt.Sprintf("%.4g + %.4g × %.0f", l.base, l.slope, n)
+		rows = append(rows, row{role, what, sum, l.at(n), unit, limit})
+		return nil
+	}
+	perEntry := float64(agents*entryLinks) / entryHosts
+	// A third of the agents was served by each control process while measuring.
+	perControl := 3 * float64(agents) / controls
+	for _, x := range []struct {
+		role, what, unit, limit, prefix, metric string
+		n                                       float64
+	}{
+		{"agent", "processor time", "% of a core", "1.2", "BenchmarkEntries/entries=", "agent-cpu-%", entryLinks},
+		{"agent", "bytes", "KB/s", "29", "BenchmarkEntries/entries=", "agent-KB/s", entryLinks},
+		{"agent", "memory", "MB", "32", "BenchmarkEntries/entries=", "agent-MB", entryLinks},
+		{"entry", "processor time, idle", "% of a core", "", "BenchmarkAgents/agents=", "entry-cpu-%", perEntry},
+		{"entry", "bytes, idle", "KB/s", "", "BenchmarkAgents/agents=", "entry-KB/s", perEntry},
+		{"entry", "memory, idle", "MB", "", "BenchmarkAgents/agents=", "entry-MB", perEntry},
+		{"control, each of 15", "processor time", "% of a core", "", "BenchmarkAgents/agents=", "follower-cpu-%", perControl},
+		{"control, each of 15", "bytes", "KB/s", "", "BenchmarkAgents/agents=", "follower-KB/s", perControl},
+		{"control, each of 15", "memory of sessions", "MB", "", "BenchmarkAgents/agents=", "follower-MB", perControl},
+	} {
+		if err := add(x.role, x.what, x.unit, x.limit, x.prefix, x.metric, x.n); err != nil {
+			return nil, err
+		}
+	}
+	return append(rows, stateRows(fs)...), nil
+}
+
+// stateRows are the parts of the replicated state, which every control process
+// holds in memory.
+func stateRows(fs figures) []row {
+	var rows []row
+	for _, x := range []struct {
+		what, bench string
+		n           float64
+	}{
+		{"state: gangs and their leases", "BenchmarkMemoryJobs", jobs},
+		{"state: workers", "BenchmarkMemoryWorkers", agents},
+		{"state: plans kept 30 days", "BenchmarkMemoryPlans", plans},
+		{"state: claims with answers of 1 KiB", "BenchmarkMemoryClaims/answer=1024", claims},
+	} {
+		v, err := fs.value(x.bench, "B/1000")
+		if err != nil {
+			rows = append(rows, row{"control", x.what, "not measured", 0, "MB", ""})
+			continue
+		}
+		rows = append(rows, row{"control", x.what, fmt.Sprintf("%.4g B × %.0f", v/1000, x.n), v / 1000 * x.n / 1e6, "MB", ""})
+	}
+	return rows
+}
