Entries leave before they refuse, agents linger after a drain, bodies are bounded together; rounds of the leader in parallel

Cause: a request on its way to an agent that was being stopped could meet a closed connection and be told "unknown"; an entry that is stopped refused callers whom the balancer had not yet turned away; 20,000 bodies of 1 MiB had no common bound; a wave of cancellations took one commit after the other. Ruled out: waiting for the entries' word before an agent ends, since an entry that is cut off would hold it up. Run: rolling restart with non-idempotent requests passes.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -33,6 +33,9 @@
 	serverIdleTimeout = 20 * time.Second
 	serverDialTimeout = 500 * time.Millisecond
 	drainCheck        = 10 * time.Millisecond
+	// drainLinger is how long the agent still answers after a drain, so that a
+	// request that was on its way gets its "not run".
+	drainLinger       = 500 * time.Millisecond
 	httpHeaderTimeout = 2 * time.Second
 	maxHeaderBytes    = 16 << 10
 )
@@ -155,9 +158,10 @@
 	a.stopping = true
 	a.mu.Unlock()
 	a.changed()
+	until := a.env.Clock.Now().Add(drainLinger)
 	t := time.NewTicker(drainCheck)
 	defer t.Stop()
-	for a.server.running() > 0 {
+	for a.server.running() > 0 || a.env.Clock.Now().Before(until) {
 		select {
 		case <-ctx.Done():
 			return errors.Wrapf(ctx.Err(), "agent: %d requests still run", a.server.running())
--- a/internal/contrl/gang.go
+++ b/internal/contrl/gang.go
@@ -6,7 +6,9 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/knapweedlug/knapweedlug/internal/state"
 	"github.com/knapweedlug/knapweedlug/pkg/model"
@@ -132,6 +134,8 @@
 // moveGangs moves every placed gang on.
 func (l *lead) moveGangs(ctx context.Context, v state.View) error {
 	now := l.c.env.Clock.Now()
+	var g errgroup.Group
+	g.SetLimit(maxProposals)
 	for j := range v.LiveJobs() {
 		if j.State == model.JobQueued {
 			continue
@@ -141,14 +145,14 @@
 		if cmd == nil {
 			continue
 		}
-		res, err := l.c.propose(ctx, *cmd)
-		if err != nil {
+		g.Go(func() error {
+			res, err := l.c.propose(ctx, *cmd)
+			l.c.env.Log.Info("gang moved on", zap.String("job", j.ID), zap.String("team", j.Team), zap.Uint64("epoch", j.Epoch),
+				zap.String("from", string(j.State)), zap.String("reason", reasonOf(cmd)), zap.Error(errors.CombineErrors(err, res.Err)))
 			return err
-		}
-		l.c.env.Log.Info("gang moved on", zap.String("job", j.ID), zap.String("team", j.Team),
-			zap.Uint64("epoch", j.Epoch), zap.String("from", string(j.State)), zap.String("reason", reasonOf(cmd)), zap.Error(res.Err))
+		})
 	}
-	return nil
+	return g.Wait()
 }
 
 func reasonOf(cmd *state.Command) string {
--- a/internal/contrl/lead.go
+++ b/internal/contrl/lead.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/knapweedlug/knapweedlug/internal/kern"
 	"github.com/knapweedlug/knapweedlug/internal/replog"
 	"github.com/knapweedlug/knapweedlug/internal/sched"
 	"github.com/knapweedlug/knapweedlug/internal/state"
@@ -20,6 +21,8 @@
 const (
 	leadCheck      = 20 * time.Millisecond
 	stepInterval   = 100 * time.Millisecond
+	stepPause      = 10 * time.Millisecond // least time between two rounds
+	maxProposals   = 64                    // of one round, on their way at once
 	fleetInterval  = 5 * time.Second
 	expireInterval = 10 * time.Second
 	recoverTimeout = 5 * time.Second
@@ -134,6 +137,7 @@
 			return nil
 		case <-t.C:
 		case <-next:
+			kern.Sleep(ctx, stepPause)
 		}
 		if st := c.node.Status(); st.Role != replog.Leader || st.Term != l.term {
 			return errTermOver
@@ -281,29 +285,35 @@
 	now := l.c.env.Clock.Now()
 	decisions := l.sched.Decide(now)
 	l.mu.Unlock()
+	var g errgroup.Group
+	g.SetLimit(maxProposals)
 	for _, d := range decisions {
 		if d.Kind == sched.Probe {
 			l.group.Go(func() error { return l.probe(ctx, d.Worker) })
 			continue
 		}
-		cmd, ok := l.command(d)
-		if !ok {
-			continue
-		}
-		res, err := l.c.propose(ctx, cmd)
-		if err != nil {
-			l.forget(d)
-			return err
-		}
-		if res.Err != nil {
-			l.c.env.Log.Info("decision not carried out", zap.String("kind", string(d.Kind)), zap.String("job", d.Job),
-				zap.String("worker", d.Worker), zap.Error(res.Err))
-			l.forget(d)
-			continue
-		}
-		l.c.env.Log.Info("decided", zap.String("kind", string(d.Kind)), zap.String("job", d.Job),
-			zap.String("worker", d.Worker), zap.String("reason", d.Reason))
+		g.Go(func() error { return l.carryOut(ctx, d) })
+	}
+	return g.Wait()
+}
+
+func (l *lead) carryOut(ctx context.Context, d sched.Decision) error {
+	cmd, ok := l.command(d)
+	if !ok {
+		return nil
+	}
+	res, err := l.c.propose(ctx, cmd)
+	if err != nil {
+		l.forget(d)
+		return err
+	}
+	log := l.c.env.Log.With(zap.String("kind", string(d.Kind)), zap.String("job", d.Job), zap.String("worker", d.Worker))
+	if res.Err != nil {
+		log.Info("decision not carried out", zap.Error(res.Err))
+		l.forget(d)
+		return nil
 	}
+	log.Info("decided", zap.String("reason", d.Reason))
 	return nil
 }
 
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -176,7 +176,7 @@
 
 func (c *cluster) entryFile(i int) string {
 	return c.file("entry", fmt.Sprintf("ent%d", i+1), i, map[string]any{
-		"listen": c.callAddr[i], "agents": c.peerAddr[i], "control": c.ctlAddr,
+		"listen": c.callAddr[i], "agents": c.peerAddr[i], "control": c.ctlAddr, "leave": 100,
 		"operators": map[string]string{operatorName: operatorKey},
 	})
 }
--- a/internal/e2e/request_test.go
+++ b/internal/e2e/request_test.go
@@ -75,7 +75,7 @@
 // be cut, refused or lost.
 func TestRollingRestart(t *testing.T) {
 	c := ready(t, small)
-	l := c.startLoad(6, false)
+	l := c.startLoad(6, true)
 	restart := func(p *proc) {
 		require.Equal(t, 0, p.stop(25*time.Second), p.name)
 		p.start()
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -37,6 +37,7 @@
 		e.refuse(w, r, err)
 		return
 	}
+	defer e.buffer.Release(o.held)
 	e.began()
 	defer e.ended()
 	defer e.meters.took(now, e.env.Clock)
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -12,6 +12,8 @@
 	"github.com/knapweedlug/knapweedlug/internal/admit"
 	"github.com/knapweedlug/knapweedlug/internal/wire"
 	"github.com/knapweedlug/knapweedlug/pkg/client"
+
+	"github.com/knapweedlug/knapweedlug/internal/kern"
 )
 
 const (
@@ -33,7 +35,7 @@
 		return
 	}
 	for rep.State == wire.ClaimRunning {
-		if !sleep(ctx, claimPoll) {
+		if !kern.Sleep(ctx, claimPoll) {
 			break
 		}
 		if next, err := e.claim(ctx, o); err == nil {
@@ -121,14 +123,3 @@
 			zap.String("team", o.Team), zap.NamedError("refusal", cause), zap.Error(err))
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/knapweedlug/knapweedlug/internal/admit"
 	"github.com/knapweedlug/knapweedlug/internal/conf"
@@ -53,8 +54,10 @@
 	ln     net.Listener // callers and operators
 	peers  net.Listener // agents
 
-	draining atomic.Bool
+	leaving  atomic.Bool // the health check fails
+	draining atomic.Bool // requests are refused
 	running  atomic.Int64
+	buffer   *semaphore.Weighted // bytes of bodies
 
 	mu       sync.Mutex
 	sessions map[string]*wire.Session
@@ -75,6 +78,7 @@
 	e := &Entry{
 		env: env, cfg: cfg, ln: limitConns(ln, cfg.Conns), peers: peers,
 		conf:     conf.NewHolder(env.Node.Cluster),
+		buffer:   semaphore.NewWeighted(cfg.Buffer),
 		rec:      newRecorder(cfg.Record, env),
 		sessions: map[string]*wire.Session{},
 		keys:     newCallers(conf.Config{}),
@@ -121,7 +125,11 @@
 
 // handleHealth tells the platform's balancer whether to send callers here.
 func (e *Entry) handleHealth(w http.ResponseWriter, _ *http.Request) {
-	if code := e.closed(e.env.Clock.Now()); code != "" {
+	code := e.closed(e.env.Clock.Now())
+	if e.leaving.Load() {
+		code = client.CodeDraining
+	}
+	if code != "" {
 		http.Error(w, string(code), http.StatusServiceUnavailable)
 		return
 	}
@@ -212,6 +220,8 @@
 // Drain implements kern.Runner. The health check fails first, so that the
 // balancer turns away; what has arrived is served to its end.
 func (e *Entry) Drain(ctx context.Context) error {
+	e.leaving.Store(true)
+	kern.Sleep(ctx, time.Duration(e.cfg.Leave)*time.Millisecond)
 	e.draining.Store(true)
 	t := time.NewTicker(drainCheck)
 	defer t.Stop()
@@ -235,7 +245,7 @@
 func (e *Entry) Request() *wire.SyncRequest {
 	now := e.env.Clock.Now()
 	req := &wire.SyncRequest{Revision: e.conf.Revision(), Fresh: e.conf.Fresh(now), State: stateReady}
-	if e.draining.Load() {
+	if e.leaving.Load() {
 		req.State = "draining"
 	}
 	return req
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -34,6 +34,7 @@
 	claim    uint64 // claim epoch of a non-idempotent request
 	attempt  string // unique to this arrival, whatever id the caller gave
 	hash     []byte
+	held     int64 // bytes taken from the entry's buffer
 	deadline time.Time
 }
 
@@ -82,7 +83,7 @@
 		o.deadline = now.Add(serviceLimit(svc))
 		o.Deadline = o.deadline
 	}
-	return o, o.readBody(w, r, svc.BodyMax)
+	return o, e.readBody(w, r, o, svc.BodyMax)
 }
 
 func serviceLimit(svc model.Service) time.Duration {
@@ -167,7 +168,9 @@
 	return out
 }
 
-func (o *order) readBody(w http.ResponseWriter, r *http.Request, limit int64) error {
+// readBody reads the body whole, within the service's limit and the entry's
+// buffer.
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, o *order, limit int64) error {
 	if limit <= 0 {
 		limit = defaultBodyMax
 	}
@@ -175,16 +178,32 @@
 	if r.ContentLength > limit {
 		return tooLarge(limit)
 	}
+	held := limit
+	if r.ContentLength >= 0 {
+		held = r.ContentLength
+	}
+	if !e.buffer.TryAcquire(held) {
+		return &fault{status: http.StatusServiceUnavailable, code: client.CodeBusy, field: "body", text: "no room for it at present"}
+	}
+	body, err := readWhole(w, r, limit)
+	if err != nil {
+		e.buffer.Release(held)
+		return err
+	}
+	o.body, o.held = body, held
+	return nil
+}
+
+func readWhole(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var big *http.MaxBytesError
 	switch {
 	case errors.As(err, &big):
-		return tooLarge(limit)
+		return nil, tooLarge(limit)
 	case err != nil:
-		return badField("body", "cut short: "+err.Error())
+		return nil, badField("body", "cut short: "+err.Error())
 	}
-	o.body = body
-	return nil
+	return body, nil
 }
 
 func tooLarge(limit int64) error {
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -12,6 +12,8 @@
 	Operators map[string]string `json:"operators" validate:"dive,hexkey" secret:"true" help:"hex key of each operator, by name"`
 	Queued    int               `json:"queued" validate:"min=1,max=1000000" help:"requests that one team may have queued here for one service"`
 	Conns     int               `json:"conns" validate:"min=1,max=100000" help:"callers' connections that are open at once at most"`
+	Leave     int               `json:"leave" validate:"min=0,max=60000" help:"milliseconds that requests are still taken once the health check fails at a planned stop, so that the balancer can turn away"`
+	Buffer    int64             `json:"buffer" validate:"min=1048576" help:"bytes that the bodies of all present requests may take together"`
 	Record    string            `json:"record" help:"file that a trace of all requests is written to; empty for none"`
 }
 
@@ -33,7 +35,7 @@
 
 // Defaults implements kern.Role.
 func (role) Defaults() kern.Settings {
-	return &Settings{Listen: "127.0.0.1:7300", Agents: "127.0.0.1:7301", Queued: 20_000, Conns: 20_000}
+	return &Settings{Listen: "127.0.0.1:7300", Agents: "127.0.0.1:7301", Queued: 20_000, Conns: 20_000, Leave: 3000, Buffer: 512 << 20}
 }
 
 // New implements kern.Role.
--- /dev/null
+++ b/internal/kern/sleep.go
@@ -0,0 +1,18 @@
+package kern
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for d. It reports false if ctx was done first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/internal/poll/poll.go
+++ b/internal/poll/poll.go
@@ -67,7 +67,7 @@
 		if err := p.once(ctx, p.link(cur)); err != nil && ctx.Err() == nil {
 			p.log.Debug("control process did not answer", zap.String("addr", p.link(cur).Addr()), zap.Error(err))
 			p.cur.CompareAndSwap(cur, cur+1)
-			pause(ctx, retryPause)
+			kern.Sleep(ctx, retryPause)
 		}
 	}
 	return nil
@@ -103,7 +103,7 @@
 			return errors.Wrapf(err, "call %s", method)
 		}
 		p.cur.CompareAndSwap(cur, cur+1)
-		pause(ctx, retryPause)
+		kern.Sleep(ctx, retryPause)
 	}
 }
 
@@ -119,15 +119,6 @@
 	return errors.Is(err, wire.ErrRemote) && !errors.Is(err, wire.ErrNotLeader)
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // LeaseTerm is how long a task may run on without word from control.
 const LeaseTerm = 10 * time.Second
 
--- a/internal/wire/dial.go
+++ b/internal/wire/dial.go
@@ -11,6 +11,8 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
+
+	"github.com/knapweedlug/knapweedlug/internal/kern"
 )
 
 const (
@@ -57,21 +59,12 @@
 		if time.Since(began) > maxBackoff {
 			backoff = minBackoff
 		}
-		pause(ctx, backoff/2+rand.N(backoff))
+		kern.Sleep(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (l *Link) once(ctx context.Context) error {
 	d := net.Dialer{Timeout: dialTimeout}
 	c, err := d.DialContext(ctx, "tcp", l.addr)
