Keep not run and unknown apart in the client; profiles; listeners by tag

Cause: the codes lost, cut and running stood for ErrUnknown. A request that came back as not run with the code lost was then both ErrNotRun and ErrUnknown (TestOutcomesNeverBlur failed on 'lost not-run'). An answer without a reason was tried again whatever its status, a 404 four times (TestAnswerWithoutReason). A listener whose setting isn't called listen (entry.agents, control.api) was left out of the check for one address asked for twice. Change: codes have sentinel errors of their own, the outcome alone says whether a request ran; a status without a reason is judged as it is; the tag listen:"true" marks a listener. Profiles on the admin listener, behind its token.

--- a/internal/e2e/job_test.go
+++ b/internal/e2e/job_test.go
@@ -21,7 +21,10 @@
 	}
 }
 
-func (c *cluster) submit(j *model.Job) { c.t.Helper(); c.apply(model.Op{Kind: model.OpSubmitJob, Job: j}) }
+func (c *cluster) submit(j *model.Job) {
+	c.t.Helper()
+	c.apply(model.Op{Kind: model.OpSubmitJob, Job: j})
+}
 
 // events returns what the platform did for a job.
 func (c *cluster) events(job string) []fakes.Event {
--- a/internal/kern/admin.go
+++ b/internal/kern/admin.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"strings"
 	"time"
 
@@ -66,6 +67,8 @@
 	mux.Handle("GET /dump", a.guard(http.HandlerFunc(a.dump)))
 	mux.Handle("GET /log/level", a.guard(a.level))
 	mux.Handle("PUT /log/level", a.guard(a.level))
+	mux.Handle("GET /debug/pprof/", a.guard(http.HandlerFunc(pprof.Index)))
+	mux.Handle("GET /debug/pprof/profile", a.guard(http.HandlerFunc(pprof.Profile)))
 	mux.Handle("POST /drain", a.guard(http.HandlerFunc(a.drain)))
 	return http.MaxBytesHandler(mux, adminBody)
 }
--- a/internal/kern/daemon_test.go
+++ b/internal/kern/daemon_test.go
@@ -86,7 +86,7 @@
 
 func TestAdminNeedsToken(t *testing.T) {
 	run := start(t, &echoRole{}, nil)
-	for _, path := range []string{"/metrics", "/dump", "/log/level"} {
+	for _, path := range []string{"/metrics", "/dump", "/log/level", "/debug/pprof/heap"} {
 		status, _ := run.get(http.MethodGet, path, "", "")
 		require.Equal(t, http.StatusUnauthorized, status, path)
 		status, _ = run.get(http.MethodGet, path, strings.Repeat("0", 64), "")
--- a/internal/kern/field.go
+++ b/internal/kern/field.go
@@ -7,14 +7,17 @@
 
 // field is one setting as its struct declares it.
 type field struct {
-	name   string // in JSON
-	help   string
-	secret bool
-	index  []int
-	typ    reflect.Type
+	name    string // in JSON
+	help    string
+	secret  bool
+	listens bool // it is an address to listen at
+	index   []int
+	typ     reflect.Type
 }
 
-// fieldsOf returns the settings that a struct declares, embedded ones included.
+// fieldsOf returns the settings that a struct declares, embedded ones included. A
+// setting is an address to listen at if its name ends in "listen" or if it is
+// tagged listen:"true".
 func fieldsOf(t reflect.Type) []field {
 	var list []field
 	for _, sf := range reflect.VisibleFields(t) {
@@ -26,11 +29,12 @@
 			name = sf.Name
 		}
 		list = append(list, field{
-			name:   name,
-			help:   sf.Tag.Get("help"),
-			secret: sf.Tag.Get("secret") == "true",
-			index:  sf.Index,
-			typ:    sf.Type,
+			name:    name,
+			help:    sf.Tag.Get("help"),
+			secret:  sf.Tag.Get("secret") == "true",
+			listens: sf.Tag.Get("listen") == "true" || strings.HasSuffix(name, "listen"),
+			index:   sf.Index,
+			typ:     sf.Type,
 		})
 	}
 	return list
--- a/internal/kern/load.go
+++ b/internal/kern/load.go
@@ -98,8 +98,7 @@
 	return a == b || a.IsUnspecified() || b.IsUnspecified()
 }
 
-// checkListeners finds addresses that two settings ask for. A setting is an
-// address to listen at if its name ends in "listen".
+// checkListeners finds addresses that two settings ask for.
 func checkListeners(cfg *Config) []Problem {
 	all := listenersIn("", reflect.ValueOf(cfg).Elem())
 	for _, name := range cfg.RoleNames() {
@@ -123,7 +122,7 @@
 		switch {
 		case fv.Kind() == reflect.Struct:
 			list = append(list, listenersIn(at, fv)...)
-		case fv.Kind() == reflect.String && strings.HasSuffix(f.name, "listen"):
+		case fv.Kind() == reflect.String && f.listens:
 			if addr, err := netip.ParseAddrPort(fv.String()); err == nil {
 				list = append(list, listener{field: at, addr: addr})
 			}
--- a/internal/kern/load_test.go
+++ b/internal/kern/load_test.go
@@ -62,6 +62,10 @@
 			strings.Replace(settings(`{"listen":"127.0.0.1:7400"}`), `"drain"`, `"admin": {"listen": "0.0.0.0:7400"}, "drain"`, 1),
 			[]string{"roles.echo.listen"},
 		},
+		"listener by tag": {
+			strings.Replace(settings(`{"nodes":"127.0.0.1:7400"}`), `"drain"`, `"admin": {"listen": "127.0.0.1:7400"}, "drain"`, 1),
+			[]string{"roles.echo.nodes"},
+		},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/kern/role_test.go
+++ b/internal/kern/role_test.go
@@ -14,6 +14,7 @@
 	Listen string   `json:"listen" help:"address to serve at" validate:"required,ipport"`
 	Peers  []string `json:"peers"  help:"addresses of peers" validate:"dive,ipport"`
 	Limit  int      `json:"limit"  help:"requests at once" validate:"min=1"`
+	Nodes  string   `json:"nodes"  help:"address for nodes" validate:"omitempty,ipport" listen:"true"`
 	Secret string   `json:"secret" help:"a key" validate:"omitempty,hexkey" secret:"true"`
 }
 
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -169,6 +169,55 @@
 	require.ErrorIs(t, err, client.ErrNotRun)
 }
 
+// A request that didn't run is never taken for one that may have, whatever the
+// reason: the outcome alone says which.
+func TestOutcomesNeverBlur(t *testing.T) {
+	codes := []client.Code{
+		client.CodeBusy, client.CodeStale, client.CodeDraining, client.CodeLost, client.CodeCut,
+		client.CodeRunning, client.CodeUnavailable, client.CodeInternal,
+	}
+	outcomes := map[client.Outcome]error{client.OutcomeNotRun: client.ErrNotRun, client.OutcomeUnknown: client.ErrUnknown}
+	for _, code := range codes {
+		for outcome := range outcomes {
+			url := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(client.HeaderOutcome, string(outcome))
+				fail(w, &client.Error{Code: code, Message: "m"})
+			})
+			_, err := client.NewCaller(url, "k", http.DefaultClient).Call(t.Context(), client.Call{Service: "rota"})
+			for other, sentinel := range outcomes {
+				require.Equal(t, other == outcome, errors.Is(err, sentinel), "%s %s", code, outcome)
+			}
+		}
+	}
+}
+
+// An answer without a reason, from something in between, is tried again only if
+// that can help.
+func TestAnswerWithoutReason(t *testing.T) {
+	tests := map[int]struct {
+		want  error
+		calls int64
+	}{
+		http.StatusNotFound:           {client.ErrNotFound, 1},
+		http.StatusUnauthorized:       {client.ErrDenied, 1},
+		http.StatusMethodNotAllowed:   {client.ErrBad, 1},
+		http.StatusBadGateway:         {client.ErrUnavailable, 4},
+		http.StatusServiceUnavailable: {client.ErrUnavailable, 4},
+	}
+	for status, tt := range tests {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			var calls atomic.Int64
+			url := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+				calls.Add(1)
+				http.Error(w, "no", status)
+			})
+			_, err := operator(t, url).Teams(t.Context())
+			require.ErrorIs(t, err, tt.want)
+			require.Equal(t, tt.calls, calls.Load())
+		})
+	}
+}
+
 func TestCallHeaders(t *testing.T) {
 	at := time.Date(2026, 4, 5, 6, 0, 0, 5e6, time.UTC)
 	url := serve(t, func(w http.ResponseWriter, r *http.Request) {
--- a/pkg/client/error.go
+++ b/pkg/client/error.go
@@ -38,6 +38,8 @@
 	ErrDeadline    = errors.New("deadline has passed")
 	ErrUnavailable = errors.New("unavailable at present")
 	ErrInternal    = errors.New("internal error")
+	ErrLost        = errors.New("connection to the backend server lost")
+	ErrRunning     = errors.New("another attempt may be running")
 
 	// ErrUnreachable is for a server that gave no answer.
 	ErrUnreachable = errors.New("server not reachable")
@@ -67,9 +69,9 @@
 	CodeInternal:    {ErrInternal, http.StatusInternalServerError},
 	CodeStale:       {ErrUnavailable, http.StatusServiceUnavailable},
 	CodeDraining:    {ErrUnavailable, http.StatusServiceUnavailable},
-	CodeLost:        {ErrUnknown, http.StatusBadGateway},
-	CodeCut:         {ErrUnknown, http.StatusBadGateway},
-	CodeRunning:     {ErrUnknown, http.StatusBadGateway},
+	CodeLost:        {ErrLost, http.StatusBadGateway},
+	CodeCut:         {ErrLost, http.StatusBadGateway},
+	CodeRunning:     {ErrRunning, http.StatusBadGateway},
 }
 
 // Status returns the HTTP status of an error answer with this code.
@@ -110,3 +112,23 @@
 type ErrorBody struct {
 	Error *Error `json:"error"`
 }
+
+// statusError returns the error that fits a status without a reason.
+func statusError(status int) error {
+	switch {
+	case status == http.StatusNotFound:
+		return ErrNotFound
+	case status == http.StatusUnauthorized:
+		return ErrDenied
+	case status == http.StatusForbidden:
+		return ErrForbidden
+	case status == http.StatusRequestEntityTooLarge:
+		return ErrTooLarge
+	case status == http.StatusTooManyRequests, status > http.StatusInternalServerError:
+		return ErrUnavailable
+	case status == http.StatusInternalServerError:
+		return ErrInternal
+	default:
+		return ErrBad
+	}
+}
--- a/pkg/client/operator.go
+++ b/pkg/client/operator.go
@@ -212,11 +212,11 @@
 }
 
 // errorOf returns the reason that an error answer holds. An answer without one
-// comes from something between the two ends, so it may be tried again.
+// comes from something between the two ends; its status has to do.
 func errorOf(status int, text []byte) error {
 	var body ErrorBody
 	if json.Unmarshal(text, &body) == nil && body.Error != nil && body.Error.Code != "" {
 		return body.Error
 	}
-	return errors.Wrapf(ErrUnavailable, "status %d without a reason", status)
+	return errors.Wrapf(statusError(status), "status %d without a reason", status)
 }
