--- a/internal/fakes/backend_test.go
+++ b/internal/fakes/backend_test.go
@@ -1,6 +1,7 @@
 package fakes_test
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -8,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -114,3 +116,47 @@
 	require.NoError(t, b.Leave(t.Context(), ln.Addr().String()))
 	require.Positive(t, leaving.Load())
 }
+
+func TestBackendClosesConnectionsBeyondItsLimit(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	b := fakes.NewBackend(fakes.BackendConfig{ID: "b1", Conns: 2}, fakes.WallClock{})
+	var g errgroup.Group
+	g.Go(func() error { return b.Serve(t.Context(), ln) })
+	addr := ln.Addr().String()
+	for range 2 {
+		c := dial(t, addr)
+		_, err := c.Write([]byte("GET /healthz HTTP/1.1\r\nHost: b\r\n\r\n"))
+		require.NoError(t, err)
+		require.NoError(t, hear(c, soon))
+	}
+	err = hear(dial(t, addr), soon)
+	require.Error(t, err)
+	require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+}
+
+// A caller that gives up doesn't undo the run: it stays in the journal.
+func TestBackendJournalKeepsAbandonedRun(t *testing.T) {
+	b := fakes.NewBackend(fakes.BackendConfig{ID: "b1"}, fakes.WallClock{})
+	b.SetFault(fakes.BackendFault{Frozen: true})
+	srv := httptest.NewServer(b.Handler())
+	defer srv.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, srv.URL+"/work?ms=0", nil)
+	require.NoError(t, err)
+	req.Header.Set(client.HeaderKey, "k1")
+	var g errgroup.Group
+	g.Go(func() error {
+		resp, err := srv.Client().Do(req)
+		if err == nil {
+			resp.Body.Close()
+		}
+		return err
+	})
+	require.Eventually(t, func() bool { return b.Active() == 1 }, soon, time.Millisecond)
+	cancel()
+	require.ErrorIs(t, g.Wait(), context.Canceled)
+	require.Eventually(t, func() bool { return b.Active() == 0 }, soon, time.Millisecond)
+	require.Equal(t, map[string]int{"k1": 1}, fakes.Runs(b.Journal.Entries()))
+	require.Zero(t, b.Journal.Entries()[0].Ended)
+}
--- /dev/null
+++ b/internal/fakes/gang_test.go
@@ -0,0 +1,59 @@
+package fakes_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedlug/knapweedlug/internal/fakes"
+)
+
+// event returns an entry of a journal, a number of seconds after its beginning.
+func event(second int, kind fakes.EventKind, lease string, member int, epoch uint64, state string) fakes.Event {
+	at := newClock().Now().Add(time.Duration(second) * time.Second)
+	return fakes.Event{Kind: kind, At: at, Lease: lease, Job: "j", Member: member, Epoch: epoch, State: state}
+}
+
+func TestGangFaults(t *testing.T) {
+	start, end := fakes.EventStart, fakes.EventEnd
+	tests := map[string]struct {
+		events []fakes.Event
+		want   []string
+	}{
+		"whole, ends apart": {[]fakes.Event{
+			event(0, start, "l1", 0, 1, ""), event(1, start, "l2", 1, 1, ""),
+			event(9, end, "l1", 0, 1, "done"), event(50, end, "l2", 1, 1, "done"),
+		}, nil},
+		"one member never starts": {[]fakes.Event{
+			event(0, start, "l1", 0, 1, ""), event(9, end, "l1", 0, 1, "expired"),
+		}, []string{"job j epoch 1: ran in part for 9s"}},
+		"one member is lost and the other runs on": {[]fakes.Event{
+			event(0, start, "l1", 0, 1, ""), event(0, start, "l2", 1, 1, ""),
+			event(5, end, "l1", 0, 1, "failed"), event(12, end, "l2", 1, 1, "expired"),
+		}, []string{"job j epoch 1: ran in part for 7s"}},
+		"one member is lost and the other stops in time": {[]fakes.Event{
+			event(0, start, "l1", 0, 1, ""), event(0, start, "l2", 1, 1, ""),
+			event(5, end, "l1", 0, 1, "failed"), event(8, end, "l2", 1, 1, "stopped"),
+		}, nil},
+		"started twice under one epoch": {[]fakes.Event{
+			event(0, start, "l1", 0, 1, ""), event(0, start, "l2", 1, 1, ""), event(1, end, "l1", 0, 1, "done"),
+			event(1, end, "l2", 1, 1, "done"), event(2, start, "l3", 0, 1, ""), event(3, end, "l3", 0, 1, "done"),
+		}, []string{"job j member 0: started twice under epoch 1"}},
+		"two epochs at once": {[]fakes.Event{
+			event(0, start, "l1", 0, 1, ""), event(0, start, "l2", 1, 1, ""),
+			event(4, start, "l3", 0, 2, ""), event(4, start, "l4", 1, 2, ""),
+			event(3, end, "l2", 1, 1, "stopped"), event(6, end, "l1", 0, 1, "stopped"),
+			event(9, end, "l3", 0, 2, "done"), event(9, end, "l4", 1, 2, "done"),
+		}, []string{"job j member 0: ran under epochs 1 and 2 at once"}},
+		"still runs in part": {[]fakes.Event{
+			event(0, start, "l1", 0, 1, ""),
+		}, []string{"job j epoch 1: ran in part for 1m40s"}},
+	}
+	now := newClock().Now().Add(100 * time.Second)
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, tt.want, fakes.GangFaults(tt.events, map[string]int{"j": 2}, 3*time.Second, now))
+		})
+	}
+}
--- a/internal/fakes/platform.go
+++ b/internal/fakes/platform.go
@@ -13,6 +13,9 @@
 	"github.com/knapweedlug/knapweedlug/pkg/model"
 )
 
+// keepEnded is how long a task is listed after its end.
+const keepEnded = 10 * time.Minute
+
 // memberKey names one member of a job.
 type memberKey struct {
 	job    string
@@ -30,7 +33,10 @@
 	lag     time.Duration // of what usage reports
 	mu      sync.Mutex
 	workers []model.Worker
-	leases  []*lease
+	leases  []*lease          // in order of their ids; those ended long ago are dropped
+	byID    map[string]*lease // the same
+	taken   int               // leases ever taken
+	swept   time.Time         // when old leases were dropped last
 	epochs  map[string]uint64 // highest epoch seen, by job
 	saved   map[memberKey]time.Duration
 	faults  map[string]Fault // by worker
@@ -43,6 +49,8 @@
 		clock:   clock,
 		lag:     lag,
 		workers: slices.Clone(workers),
+		byID:    map[string]*lease{},
+		swept:   clock.Now(),
 		epochs:  map[string]uint64{},
 		saved:   map[memberKey]time.Duration{},
 		faults:  map[string]Fault{},
@@ -78,7 +86,8 @@
 	return slices.Clone(p.workers)
 }
 
-// Tasks returns the tasks of a worker, or of every worker if name is empty.
+// Tasks returns the tasks of a worker, or of every worker if name is empty. Tasks
+// that ended more than ten minutes ago are left out.
 func (p *Platform) Tasks(name string) []platf.Task {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -133,12 +142,14 @@
 	if err := p.fits(w, r); err != nil {
 		return platf.Task{}, err
 	}
+	p.taken++
 	l := &lease{speed: w.Speed, task: platf.Task{
-		ID: fmt.Sprintf("l%d", len(p.leases)+1), Worker: r.Worker, Job: r.Job, Member: r.Member, Epoch: r.Epoch,
+		ID: fmt.Sprintf("l%d", p.taken), Worker: r.Worker, Job: r.Job, Member: r.Member, Epoch: r.Epoch,
 		Cores: r.Cores, Memory: r.Memory, Accels: r.Accels,
 		State: platf.TaskHeld, Held: now, Deadline: r.Deadline, Share: 1,
 	}}
 	p.leases = append(p.leases, l)
+	p.byID[l.task.ID] = l
 	p.note(EventHold, l, now, "")
 	return l.task, nil
 }
@@ -265,9 +276,25 @@
 	for _, l := range ended {
 		p.note(EventEnd, l, l.task.Ended, "")
 	}
+	p.sweep(now)
 	return now
 }
 
+// sweep drops leases that ended long ago.
+func (p *Platform) sweep(now time.Time) {
+	if now.Sub(p.swept) < keepEnded/10 {
+		return
+	}
+	p.swept = now
+	p.leases = slices.DeleteFunc(p.leases, func(l *lease) bool {
+		old := !l.task.State.Live() && now.Sub(l.task.Ended) > keepEnded
+		if old {
+			delete(p.byID, l.task.ID)
+		}
+		return old
+	})
+}
+
 // fence refuses an epoch below the highest that was seen for the job, and keeps
 // the highest.
 func (p *Platform) fence(job string, epoch uint64) error {
@@ -314,11 +341,11 @@
 }
 
 func (p *Platform) lease(id string) (*lease, error) {
-	i := slices.IndexFunc(p.leases, func(l *lease) bool { return l.task.ID == id })
-	if i < 0 {
+	l, known := p.byID[id]
+	if !known {
 		return nil, refuse(platf.CodeUnknown, "no lease %q", id)
 	}
-	return p.leases[i], nil
+	return l, nil
 }
 
 func (p *Platform) note(kind EventKind, l *lease, at time.Time, reason string) {
--- a/internal/fakes/platform_test.go
+++ b/internal/fakes/platform_test.go
@@ -182,6 +182,31 @@
 	require.Equal(t, 3, usage[0].Accels)
 }
 
+func TestPlatformDropsOldTasks(t *testing.T) {
+	b := newBench(t)
+	_, err := b.hold("w00", "j", 1, 1)
+	require.NoError(t, err)
+	b.pass(time.Minute)
+	require.Len(t, b.Tasks("w00"), 1)
+	second, err := b.hold("w00", "j", 2, 1)
+	require.NoError(t, err)
+	b.pass(10 * time.Minute)
+	require.Equal(t, []string{second.ID}, ids(b.Tasks("")))
+	_, err = b.client.Stop(b.ctx, "l1", platf.StopRequest{Epoch: 2})
+	require.ErrorIs(t, err, platf.ErrUnknown)
+	third, err := b.hold("w00", "j", 3, 1)
+	require.NoError(t, err)
+	require.Equal(t, []string{second.ID, third.ID}, ids(b.Tasks("w00")))
+}
+
+func ids(tasks []platf.Task) []string {
+	var list []string
+	for _, t := range tasks {
+		list = append(list, t.ID)
+	}
+	return list
+}
+
 func TestPlatformClientErrors(t *testing.T) {
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		http.Error(w, "proxy is down", http.StatusBadGateway)
