state: diff of revisions, claims in flight by age, faults of members; twins in every test

- knapctl config diff needs the net change between two revisions.
- Whoever settles claims whose entry died needs them by age without a scan.
- A member's failure is kept with worker and reason, across leaders.

--- a/internal/state/bench_test.go
+++ b/internal/state/bench_test.go
@@ -20,6 +20,13 @@
 	sizeGang    = 16
 )
 
+// benchRig returns a rig without a twin.
+func benchRig(b *testing.B) *rig {
+	r := newRig(b)
+	r.twin = nil
+	return r
+}
+
 // heap returns the bytes in use after a collection.
 func heap() uint64 {
 	runtime.GC()
@@ -42,7 +49,7 @@
 // planned returns a state with the planned number of workers and tasks, each
 // worker holding about twelve members of running gangs.
 func planned(b *testing.B) *rig {
-	r := newRig(b)
+	r := benchRig(b)
 	r.planWorkers(sizeWorkers)
 	r.carry(setTeam("linen", 1), setService("rota", 2))
 	for i := range sizeTasks / sizeGang {
@@ -77,7 +84,7 @@
 
 func BenchmarkMemoryJobs(b *testing.B) {
 	for range b.N {
-		r := newRig(b)
+		r := benchRig(b)
 		r.planWorkers(sizeWorkers)
 		r.carry(setTeam("linen", 1))
 		bytesPer(b, r, 2000, r.gang)
@@ -87,7 +94,7 @@
 
 func BenchmarkMemoryQueuedJobs(b *testing.B) {
 	for range b.N {
-		r := newRig(b)
+		r := benchRig(b)
 		r.fleet(6)
 		r.carry(setTeam("linen", 1))
 		bytesPer(b, r, 5000, func(i int) { r.carry(submit(fmt.Sprint("job-", i), "linen", 1, true)) })
@@ -96,7 +103,7 @@
 
 func BenchmarkMemoryWorkers(b *testing.B) {
 	for range b.N {
-		r := newRig(b)
+		r := benchRig(b)
 		before := heap()
 		r.planWorkers(sizeWorkers)
 		b.ReportMetric(float64(heap()-before)*1000/sizeWorkers, "B/1000")
@@ -106,7 +113,7 @@
 
 func BenchmarkMemoryPlans(b *testing.B) {
 	for range b.N {
-		r := newRig(b)
+		r := benchRig(b)
 		bytesPer(b, r, 5000, func(i int) { r.carry(setTeam(fmt.Sprint("t", i%410), i)) })
 	}
 }
@@ -115,7 +122,7 @@
 	for _, size := range []int{0, 1 << 10} {
 		b.Run(fmt.Sprint("answer=", size), func(b *testing.B) {
 			for range b.N {
-				r := newRig(b)
+				r := benchRig(b)
 				r.carry(setTeam("linen", 1), setService("rota", 2))
 				bytesPer(b, r, 5000, func(i int) {
 					key := fmt.Sprintf("order-%08d", i)
@@ -201,7 +208,7 @@
 }
 
 func BenchmarkDelta(b *testing.B) {
-	r := newRig(b)
+	r := benchRig(b)
 	for i := range 2000 {
 		r.carry(setTeam(fmt.Sprint("t", i%410), i))
 	}
--- a/internal/state/claim.go
+++ b/internal/state/claim.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"time"
 	"unicode/utf8"
 
@@ -195,7 +196,7 @@
 	cl.Entry = c.Entry
 	cl.Attempt = c.Attempt
 	cl.Claimed = d.now
-	d.claims.set(claimKey(cl.Team, cl.Key), &cl)
+	d.putClaim(cl)
 	return Result{Claim: &ClaimResult{Granted: true, Claim: cl}}
 }
 
@@ -218,6 +219,42 @@
 	}
 	cl.State = c.State
 	cl.Answer = c.Answer
-	d.claims.set(claimKey(c.Team, c.Key), &cl)
+	d.putClaim(cl)
 	return Result{Claim: &ClaimResult{Claim: cl}}
 }
+
+// putClaim stores a claim and keeps the order of those in flight.
+func (d *data) putClaim(cl Claim) {
+	id := claimKey(cl.Team, cl.Key)
+	d.claims.set(id, &cl)
+	at := dueKey(cl.Claimed, dueClaim, id)
+	if cl.State == ClaimFlight {
+		d.flight.set(at, struct{}{})
+		return
+	}
+	d.flight.drop(at)
+}
+
+func (d *data) dropClaim(id string) {
+	if cl, ok := d.claims.get(id); ok {
+		d.flight.drop(dueKey(cl.Claimed, dueClaim, id))
+		d.claims.drop(id)
+	}
+}
+
+// InFlight yields the claims that were granted before a time and have no
+// outcome yet, the oldest first. Whoever finds that the entry of one is gone
+// settles it as unknown.
+func (v View) InFlight(before time.Time) iter.Seq[*Claim] {
+	return func(yield func(*Claim) bool) {
+		for key := range v.data.flight.all() {
+			at, _, id := parseDue(key)
+			if at >= before.UnixNano() {
+				return
+			}
+			if cl, ok := v.data.claims.get(id); ok && !yield(cl) {
+				return
+			}
+		}
+	}
+}
--- a/internal/state/claim_test.go
+++ b/internal/state/claim_test.go
@@ -37,6 +37,31 @@
 	require.ErrorIs(t, r.claim("k", "other", "a3").Err, ErrKeyReused)
 }
 
+func TestClaimsInFlight(t *testing.T) {
+	r := ready(t)
+	late := func() (keys []string) {
+		for c := range r.s.View().InFlight(r.now) {
+			keys = append(keys, c.Key)
+		}
+		return keys
+	}
+	for _, key := range []string{"k2", "k1", "k3"} {
+		r.claim(key, "h", "a")
+		r.now = r.now.Add(time.Second)
+	}
+	require.Equal(t, []string{"k2", "k1", "k3"}, late(), "the oldest first")
+	r.restart()
+	c, _ := r.s.View().Claim("linen", "k1")
+	r.settle("k1", c.Epoch, ClaimNotRun, "")
+	require.Equal(t, []string{"k2", "k3"}, late())
+	r.claim("k1", "h", "b")
+	require.Equal(t, []string{"k2", "k3"}, late(), "granted just now")
+	r.now = r.now.Add(72 * time.Hour)
+	require.Equal(t, []string{"k2", "k3", "k1"}, late())
+	r.must(Command{Expire: &Expire{}})
+	require.Empty(t, late())
+}
+
 func TestStoredAnswerIsFinal(t *testing.T) {
 	r := ready(t)
 	epoch := r.claim("k", "h", "a1").Claim.Claim.Epoch
@@ -46,7 +71,7 @@
 		require.ErrorIs(t, out.Err, ErrSettled, s)
 		require.Equal(t, "done", string(out.Claim.Claim.Answer.Body))
 	}
-	r.s = restored(t, r.s)
+	r.restart()
 	again := r.claim("k", "h", "a2")
 	require.False(t, again.Claim.Granted)
 	require.Equal(t, "done", string(again.Claim.Claim.Answer.Body))
--- a/internal/state/data.go
+++ b/internal/state/data.go
@@ -25,6 +25,7 @@
 	plans   table[string, *planRecord]
 	intents table[string, string] // intent key to plan id
 	claims  table[string, *Claim]
+	flight  table[string, struct{}] // claims in flight, ordered by when they were granted
 	due     table[string, struct{}] // what may be dropped, ordered by deadline
 }
 
@@ -38,6 +39,7 @@
 		plans:   newTable[string, *planRecord](),
 		intents: newTable[string, string](),
 		claims:  newTable[string, *Claim](),
+		flight:  newTable[string, struct{}](),
 		due:     newTable[string, struct{}](),
 	}
 }
@@ -53,6 +55,7 @@
 	out.plans = d.plans.clone()
 	out.intents = d.intents.clone()
 	out.claims = d.claims.clone()
+	out.flight = d.flight.clone()
 	out.due = d.due.clone()
 	return &out
 }
--- a/internal/state/expire.go
+++ b/internal/state/expire.go
@@ -83,7 +83,7 @@
 	_, kind, id := parseDue(key)
 	switch kind {
 	case dueClaim:
-		d.claims.drop(id)
+		d.dropClaim(id)
 	case dueJob:
 		d.jobs.drop(id)
 	case duePlan:
--- a/internal/state/gang_test.go
+++ b/internal/state/gang_test.go
@@ -161,6 +161,7 @@
 }
 
 func (m *fleetModel) check(t *rapid.T) {
+	m.checkTasks(t)
 	running := map[string]map[uint64]bool{"j0": {}, "j1": {}}
 	for _, a := range m.agents {
 		for l, s := range a.held {
@@ -180,6 +181,24 @@
 	}
 }
 
+// checkTasks checks that workers hold exactly the members of placed jobs.
+func (m *fleetModel) checkTasks(t *rapid.T) {
+	var want, got []TaskRef
+	for j := range m.rig.s.View().Jobs() {
+		if j.placed() {
+			want = append(want, TaskRef{Job: j.ID}, TaskRef{Job: j.ID, Member: 1})
+		}
+	}
+	for w := range m.rig.s.View().Workers() {
+		got = append(got, w.Tasks...)
+	}
+	require.ElementsMatch(t, want, got)
+}
+
+func drawWorker(t *rapid.T) string {
+	return rapid.SampledFrom([]string{"w00", "w01", "w02"}).Draw(t, "worker")
+}
+
 func TestGangsRunWholeAndOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newFleetModel(t)
@@ -187,7 +206,7 @@
 			"": m.check, "place": m.place, "start": m.start, "stop": m.stop, "end": m.end,
 			"poll": m.poll, "poll again": m.poll, "receive": m.receive, "receive again": m.receive,
 			"tell": m.tell, "deliver": m.deliver, "deliver again": m.deliver,
-			"restart": func(t *rapid.T) { m.rig.s = restored(t, m.rig.s) },
+			"restart": func(*rapid.T) { m.rig.restart() },
 		})
 	})
 }
--- a/internal/state/job.go
+++ b/internal/state/job.go
@@ -11,6 +11,9 @@
 // keepJobs is how long an ended job can still be looked up.
 const keepJobs = 3 * 24 * time.Hour
 
+// keepFaults is how many faults of a job are kept.
+const keepFaults = 16
+
 // MemberState is where a member of a job stands, as its agent last said.
 type MemberState string
 
@@ -37,10 +40,21 @@
 	Moved  uint64        `json:"moved,omitempty"`  // log index at which its phase last changed
 	Cancel bool          `json:"cancel,omitempty"` // an operator cancelled it, so it is never queued again
 	Status []MemberState `json:"status,omitempty"` // by member index, under the current epoch
+	Faults []Fault       `json:"faults,omitempty"` // members that failed, the latest last
 	Plan   string        `json:"plan,omitempty"`   // plan that last touched it
 	Index  uint64        `json:"index,omitempty"`  // log index at which that plan was confirmed
 }
 
+// Fault is one failure of a member, charged to the worker and the job, so that
+// a sick worker can be told from a job that fails anywhere.
+type Fault struct {
+	Worker string    `json:"worker"`
+	Member int       `json:"member"`
+	Epoch  uint64    `json:"epoch"`
+	Time   time.Time `json:"time"`
+	Reason string    `json:"reason,omitempty"`
+}
+
 // PlaceJob takes a queued job to its workers under a new fencing epoch, which
 // is the log index of the command.
 type PlaceJob struct {
--- a/internal/state/job_test.go
+++ b/internal/state/job_test.go
@@ -24,6 +24,23 @@
 	require.Equal(t, model.JobRunning, r.job("j").State)
 }
 
+func TestFaultsAreChargedToWorkerAndJob(t *testing.T) {
+	r := ready(t)
+	for range keepFaults + 1 {
+		if _, ok := r.s.View().Job("j"); !ok {
+			r.carry(submit("j", "linen", 2, true))
+		}
+		epoch := r.place("j", 2).Job.Epoch
+		failed := MemberReport{Job: "j", Epoch: epoch, Member: 1, State: MemberFailed, Reason: "no driver"}
+		r.must(Command{Report: &Report{Members: []MemberReport{failed, failed}}})
+		r.must(Command{End: &EndJob{ID: "j", Epoch: epoch, State: model.JobQueued, Lapsed: true}})
+	}
+	faults := r.job("j").Faults
+	require.Len(t, faults, keepFaults)
+	last := faults[keepFaults-1]
+	require.Equal(t, Fault{Worker: "w01", Member: 1, Epoch: r.job("j").Epoch, Time: r.now, Reason: "no driver"}, last)
+}
+
 func TestNoMemberRunsBeforeTheStart(t *testing.T) {
 	r := ready(t)
 	r.carry(submit("j", "linen", 2, false))
--- a/internal/state/kit_test.go
+++ b/internal/state/kit_test.go
@@ -14,17 +14,20 @@
 // start is when every test begins.
 var start = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
 
-// rig applies commands to a state machine as a single leader would.
+// rig applies commands to a state machine as a single leader would, and to a
+// twin that must give the same results and the same snapshots. Restarts leave
+// one of the two as it was and read the other back from a snapshot.
 type rig struct {
 	t     require.TestingT
 	s     *State
+	twin  *State // nil in benchmarks
 	index uint64
 	term  uint64
 	now   time.Time
 }
 
 func newRig(t require.TestingT) *rig {
-	return &rig{t: t, s: New(), term: 1, now: start}
+	return &rig{t: t, s: New(), twin: New(), term: 1, now: start}
 }
 
 func (r *rig) apply(c Command) Result {
@@ -33,7 +36,24 @@
 	b, err := Encode(c)
 	require.NoError(r.t, err)
 	r.index++
-	return r.s.Apply(r.index, b).(Result)
+	out := r.s.Apply(r.index, b).(Result)
+	if r.twin != nil {
+		r.compare(out, r.twin.Apply(r.index, b).(Result))
+	}
+	return out
+}
+
+func (r *rig) compare(a, b Result) {
+	require.Equal(r.t, fmt.Sprint(a.Err, a.Refused), fmt.Sprint(b.Err, b.Refused))
+	a.Err, a.Refused, b.Err, b.Refused = nil, nil, nil, nil
+	require.Equal(r.t, a, b)
+}
+
+// restart goes on with a state read back from a snapshot, and with the state
+// that it was taken of as the twin.
+func (r *rig) restart() {
+	require.Equal(r.t, string(r.snapshot()), string(snapshotOf(r.t, r.twin)))
+	r.s, r.twin = restored(r.t, r.s), r.s
 }
 
 // must applies a command that has to succeed.
--- a/internal/state/plan_test.go
+++ b/internal/state/plan_test.go
@@ -44,7 +44,7 @@
 	r.now = r.now.Add(6 * 24 * time.Hour)
 	r.must(Command{Expire: &Expire{}})
 	r.carry(setTeam("linen", 6))
-	r.s = restored(t, r.s)
+	r.restart()
 	again := r.confirm("ann", p.Plan.ID)
 	require.NoError(t, again.Err)
 	require.Equal(t, first.Plan, again.Plan)
--- a/internal/state/prop_test.go
+++ b/internal/state/prop_test.go
@@ -129,7 +129,7 @@
 				m.rig.now = m.rig.now.Add(time.Duration(rapid.IntRange(1, 4).Draw(t, "minutes")) * time.Minute)
 			},
 			"expire":  func(*rapid.T) { m.rig.must(Command{Expire: &Expire{Limit: 3}}) },
-			"restart": func(t *rapid.T) { m.rig.s = restored(t, m.rig.s) },
+			"restart": func(*rapid.T) { m.rig.restart() },
 		})
 	})
 }
@@ -225,7 +225,7 @@
 			"claim":   m.claim,
 			"settle":  m.settle,
 			"expire":  func(*rapid.T) { m.rig.must(Command{Expire: &Expire{}}) },
-			"restart": func(t *rapid.T) { m.rig.s = restored(t, m.rig.s) },
+			"restart": func(*rapid.T) { m.rig.restart() },
 		})
 	})
 }
--- a/internal/state/report.go
+++ b/internal/state/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -71,13 +72,24 @@
 		fresh[j.ID] = true
 	}
 	j.Status[m.Member] = m.State
-	if m.State == MemberFailed && m.Reason != "" {
-		j.Reason = m.Reason
+	if m.State == MemberFailed {
+		j = j.withFault(d.now, m)
 	}
 	d.putJob(j)
 	return nil
 }
 
+// withFault returns the job with a member's failure noted.
+func (j Job) withFault(now time.Time, m MemberReport) Job {
+	f := Fault{Worker: j.Members[m.Member].Worker, Member: m.Member, Epoch: m.Epoch, Time: now, Reason: m.Reason}
+	faults := append(slices.Clone(j.Faults), f)
+	j.Faults = faults[max(0, len(faults)-keepFaults):]
+	if m.Reason != "" {
+		j.Reason = m.Reason
+	}
+	return j
+}
+
 func (j Job) checkReport(m MemberReport) error {
 	if m.Member < 0 || m.Member >= len(j.Status) {
 		return errors.Wrapf(ErrBadState, "job %q (%s) has no member %d", j.ID, j.State, m.Member)
--- a/internal/state/restore.go
+++ b/internal/state/restore.go
@@ -173,6 +173,9 @@
 	for i, m := range j.Members {
 		j.Members[i].Worker = r.one(m.Worker)
 	}
+	for i, f := range j.Faults {
+		j.Faults[i].Worker = r.one(f.Worker)
+	}
 	for i, m := range j.Status {
 		j.Status[i] = MemberState(r.one(string(m)))
 	}
@@ -233,7 +236,7 @@
 	c.Service = r.one(c.Service)
 	c.Entry = r.one(c.Entry)
 	c.State = ClaimState(r.one(string(c.State)))
-	r.data.claims.set(claimKey(c.Team, c.Key), &c)
+	r.data.putClaim(c)
 }
 
 func (r *snapReader) finish() (*data, error) {
--- a/internal/state/revise_test.go
+++ b/internal/state/revise_test.go
@@ -79,3 +79,21 @@
 	oldest, _, _ := d.history.first()
 	require.EqualValues(t, 4, oldest)
 }
+
+func TestDiffBetweenRevisions(t *testing.T) {
+	r := ready(t)
+	r.carry(setTeam("a", 1), model.Op{Kind: model.OpDrain, Scope: model.NearRack, Name: "r1"})
+	r.carry(setTeam("a", 2), setTeam("b", 1))
+	r.carry(model.Op{Kind: model.OpDropTeam, Name: "b"}, model.Op{Kind: model.OpUncordon, Scope: model.NearWorker, Name: "w04"})
+	got, err := r.s.View().Diff(1, 4)
+	require.NoError(t, err)
+	var lines []string
+	for _, c := range got {
+		lines = append(lines, fmt.Sprintf("%s: %.9s > %.9s", c.What, c.Before, c.After))
+	}
+	require.Equal(t, []string{`team a:  > {"name":"`, "rack r1: 3 ready > 3 drainin", "worker w04: 1 drainin > 1 ready"}, lines)
+	for _, bad := range [][2]uint64{{2, 1}, {0, 5}} {
+		_, err = r.s.View().Diff(bad[0], bad[1])
+		require.ErrorIs(t, err, ErrNotFound)
+	}
+}
--- a/internal/state/stage.go
+++ b/internal/state/stage.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/knapweedlug/knapweedlug/pkg/model"
 )
@@ -96,16 +97,40 @@
 		g.refuse(field+".name", op.Name, "is not a listed "+string(op.Scope))
 		return
 	}
-	m := map[model.OpKind]Mark{
-		model.OpCordon: MarkCordon, model.OpDrain: MarkDrain, model.OpUncordon: MarkUncordon,
-	}[op.Kind]
+	before, after := map[model.WorkerState]int{}, map[model.WorkerState]int{}
 	for _, name := range names {
 		if !g.once(i, field+".name", "worker "+name) {
 			return
 		}
-		g.marks = append(g.marks, MarkWorker{Name: name, Mark: m})
+		m := MarkWorker{Name: name, Mark: markOf(op.Kind)}
+		w, _ := g.data.workers.get(name)
+		marked, _ := w.withMark(m.Mark)
+		before[w.Wanted]++
+		after[marked.Wanted]++
+		g.marks = append(g.marks, m)
+	}
+	g.change(string(op.Scope)+" "+op.Name, summary(before), summary(after))
+}
+
+func markOf(k model.OpKind) Mark {
+	switch k {
+	case model.OpCordon:
+		return MarkCordon
+	case model.OpDrain:
+		return MarkDrain
+	}
+	return MarkUncordon
+}
+
+// summary says how many workers are wanted in which state.
+func summary(counts map[model.WorkerState]int) string {
+	var parts []string
+	for _, s := range []model.WorkerState{model.WorkerReady, model.WorkerCordoned, model.WorkerDraining} {
+		if n := counts[s]; n > 0 {
+			parts = append(parts, fmt.Sprintf("%d %s", n, s))
+		}
 	}
-	g.change(string(op.Scope)+" "+op.Name, "", fmt.Sprintf("%s (%d workers)", m, len(names)))
+	return strings.Join(parts, ", ")
 }
 
 // scope returns the names of the workers in a scope.
