--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -18,7 +18,7 @@
 	racks   map[string]*group
 	domains map[string]*group
 	byRack  [viewCount]*btree.BTreeG[rackEntry]
-	freed   uint64
+	freed   freedLog
 }
 
 type rackEntry struct {
@@ -60,7 +60,7 @@
 	n.w = w
 	n.cap = Capacity(w)
 	f.index(n)
-	f.freed++
+	f.freed.add(w.Name)
 }
 
 // DropWorker removes a worker.
@@ -85,13 +85,6 @@
 // Len returns the number of workers.
 func (f *Fleet) Len() int { return len(f.nodes) }
 
-// Freed counts the changes that may have made room. A search that failed needs
-// no second try while the count stands still.
-func (f *Fleet) Freed() uint64 { return f.freed }
-
-// Touch counts a change outside the fleet that may have made room.
-func (f *Fleet) Touch() { f.freed++ }
-
 // Take enters need for every member of the cells in the layer.
 func (f *Fleet) Take(l Layer, cells []Cell, need Need) {
 	for _, c := range cells {
@@ -101,10 +94,10 @@
 
 // Give removes what Take has entered.
 func (f *Fleet) Give(l Layer, cells []Cell, need Need) {
-	if l != Reserved {
-		f.freed++
-	}
 	for _, c := range cells {
+		if l != Reserved {
+			f.freed.add(c.Worker)
+		}
 		f.change(l, c.Worker, need.Times(-c.Count))
 	}
 }
--- a/internal/place/search.go
+++ b/internal/place/search.go
@@ -8,7 +8,10 @@
 )
 
 // Candidates that a gradient search weighs in one pool or index of racks.
-const maxCandidates = 32
+const (
+	maxCandidates  = 32
+	poolCandidates = 8 // of equal workers for one worker's gang
+)
 
 // Query asks for room for all members of a shape.
 type Query struct {
@@ -58,6 +61,19 @@
 	return len(f.nodes)
 }
 
+// poolLimit is the limit for one pool. The pool's order is already that of cost
+// for work without accelerators.
+func (f *Fleet) poolLimit(need Need) int {
+	switch {
+	case f.policy != Gradient:
+		return len(f.nodes)
+	case need.Accels == 0:
+		return 1
+	default:
+		return poolCandidates
+	}
+}
+
 func (f *Fleet) findWorker(q Query) ([]Cell, bool) {
 	total := q.need().Times(q.Shape.Members)
 	v := q.View.index()
@@ -67,7 +83,7 @@
 		if !q.kind(p.key.kind) || total.Accels > p.key.accels {
 			continue
 		}
-		left := f.limit()
+		left := f.poolLimit(total)
 		p.scan(v, total, func(n *node) bool {
 			if q.avoids(n) {
 				return true
--- /dev/null
+++ b/internal/sched/bench_test.go
@@ -0,0 +1,211 @@
+package sched_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/knapweedlug/knapweedlug/internal/sched"
+	"github.com/knapweedlug/knapweedlug/internal/sched/drive"
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+const (
+	tasksPerWorker = 160_000.0 / 13_000
+	teamsPerWorker = 410.0 / 13_000
+	begin          = 1_700_000_000
+)
+
+// busy is a fleet in the midst of its work.
+type busy struct {
+	s     *sched.Sched
+	r     *rand.Rand
+	now   time.Time
+	teams int
+	seq   int
+	live  []model.Job
+	at    map[string]int // index in live
+	wait  map[string]model.Job
+}
+
+// newBusy returns a fleet of n workers that is filled with tasks and gangs, with
+// one guarantee for each team.
+func newBusy(n int) (*busy, []model.Worker) {
+	f := &busy{
+		s: sched.New(sched.Options{}), r: rand.New(rand.NewPCG(6, 6)), now: time.Unix(begin, 0),
+		teams: max(int(float64(n)*teamsPerWorker), 4), at: make(map[string]int), wait: make(map[string]model.Job),
+	}
+	ws := drive.Planned(n)
+	if n <= 10 {
+		ws = drive.Today()
+	}
+	for _, w := range ws {
+		f.s.SetWorker(w, f.now)
+	}
+	for i := range f.teams {
+		f.s.SetTeam(model.Team{Name: fmt.Sprintf("t%d", i), Weight: 1, Guarantees: []model.Guarantee{{
+			Shape: model.Shape{Members: 1, Cores: 16, Memory: 32 << 30, Accels: 8, Near: model.NearWorker}, Count: 1,
+		}}}, f.now)
+	}
+	for i := 0; float64(i) < float64(n)*tasksPerWorker; {
+		j := f.submit()
+		i += j.Shape.Members
+		if f.seq%256 == 0 {
+			f.decide()
+		}
+	}
+	for range 8 {
+		f.decide()
+	}
+	return f, ws
+}
+
+// submit draws a task without accelerators, or, one time in forty, a gang.
+func (f *busy) submit() model.Job {
+	f.seq++
+	j := model.Job{
+		ID: fmt.Sprintf("j%07d", f.seq), Team: fmt.Sprintf("t%d", f.r.IntN(f.teams)), Urgency: model.Normal,
+		EstimateMs: int64(1000 * (60 + f.r.IntN(36000))), Stoppable: f.r.IntN(10) < 7, State: model.JobQueued, Submitted: f.now,
+		Shape: model.Shape{Members: 1, Cores: 1 + f.r.IntN(3), Memory: 4 << 30, Near: model.NearWorker},
+	}
+	if f.r.IntN(40) == 0 {
+		size := drive.PlannedSizes[f.r.IntN(len(drive.PlannedSizes))]
+		j.Shape = model.Shape{Members: size.Members, Accels: size.Accels, Cores: 2 * size.Accels, Memory: 8 << 30, Near: size.Near}
+	}
+	f.wait[j.ID] = j
+	f.s.SetJob(j, f.now)
+	return j
+}
+
+func (f *busy) decide() time.Duration {
+	f.now = f.now.Add(time.Second)
+	start := threadTime()
+	ds := f.s.Decide(f.now)
+	cost := threadTime() - start
+	for _, d := range ds {
+		f.commit(d)
+	}
+	return cost
+}
+
+func (f *busy) commit(d sched.Decision) {
+	switch d.Kind {
+	case sched.Place:
+		j := f.wait[d.Job].WithState(model.JobRunning, d.Reason)
+		j.Members, j.Borrowed, j.Started = d.Members, d.Borrowed, f.now
+		delete(f.wait, d.Job)
+		f.at[j.ID] = len(f.live)
+		f.live = append(f.live, j)
+		f.s.SetJob(j, f.now)
+	case sched.Stop:
+		j := f.remove(f.at[d.Job]).WithState(model.JobQueued, d.Reason)
+		j.Members = nil
+		f.wait[j.ID] = j
+		f.s.SetJob(j, f.now)
+	case sched.Fail:
+		delete(f.wait, d.Job)
+		f.s.DropJob(d.Job)
+	}
+}
+
+func (f *busy) remove(i int) model.Job {
+	j := f.live[i]
+	last := len(f.live) - 1
+	f.live[i] = f.live[last]
+	f.at[f.live[i].ID] = i
+	f.live = f.live[:last]
+	delete(f.at, j.ID)
+	return j
+}
+
+func (f *busy) end() {
+	j := f.remove(f.r.IntN(len(f.live)))
+	f.s.SetJob(j.WithState(model.JobDone, ""), f.now)
+}
+
+// threadTime returns the processor time of the calling thread, so that other
+// work on the machine doesn't count.
+func threadTime() time.Duration {
+	const thread = 1 // RUSAGE_THREAD
+	var u syscall.Rusage
+	if err := syscall.Getrusage(thread, &u); err != nil {
+		panic(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+var sizes = []int{10, 100, 1000, 13000}
+
+// BenchmarkDecide measures one decision after a job has ended and another has
+// come, with the 99th percentile beside the mean.
+func BenchmarkDecide(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
+			runtime.LockOSThread()
+			defer runtime.UnlockOSThread()
+			f, _ := newBusy(n)
+			h := hdrhistogram.New(1, int64(time.Minute), 3)
+			b.ResetTimer()
+			for range b.N {
+				f.end()
+				f.submit()
+				_ = h.RecordValue(int64(f.decide()))
+			}
+			b.ReportMetric(float64(h.ValueAtQuantile(50))/1e3, "p50-us")
+			b.ReportMetric(float64(h.ValueAtQuantile(99))/1e3, "p99-us")
+			b.ReportMetric(float64(h.Max())/1e3, "max-us")
+			b.ReportMetric(float64(len(f.live)), "running")
+			b.ReportMetric(float64(len(f.wait)), "waiting")
+		})
+	}
+}
+
+// BenchmarkLostRack measures the loss of a rack and the decision after it.
+func BenchmarkLostRack(b *testing.B) {
+	for _, n := range sizes[1:] {
+		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
+			runtime.LockOSThread()
+			defer runtime.UnlockOSThread()
+			f, ws := newBusy(n)
+			h := hdrhistogram.New(1, int64(time.Minute), 3)
+			b.ResetTimer()
+			for i := range b.N {
+				rack := ws[3*i%(n-n%3) : 3*i%(n-n%3)+3]
+				start := threadTime()
+				for _, w := range rack {
+					f.s.SetWorker(w.WithState(model.WorkerLost), f.now)
+				}
+				cost := threadTime() - start
+				_ = h.RecordValue(int64(cost + f.decide()))
+				for _, w := range rack {
+					f.s.SetWorker(w, f.now)
+				}
+				f.decide()
+			}
+			b.ReportMetric(float64(h.ValueAtQuantile(99))/1e3, "p99-us")
+		})
+	}
+}
+
+// BenchmarkReset measures how long a new leader takes to rebuild its state.
+func BenchmarkReset(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
+			f, ws := newBusy(n)
+			var teams []model.Team
+			for i := range f.teams {
+				teams = append(teams, model.Team{Name: fmt.Sprintf("t%d", i), Weight: 1})
+			}
+			s := sched.New(sched.Options{})
+			b.ResetTimer()
+			for range b.N {
+				s.Reset(ws, teams, f.live, f.now)
+			}
+		})
+	}
+}
--- a/internal/sched/borrow.go
+++ b/internal/sched/borrow.go
@@ -7,14 +7,24 @@
 	"github.com/knapweedlug/knapweedlug/internal/place"
 )
 
-// Waiting jobs that are looked at for borrowed capacity in one decision.
-const borrowMost = 512
+// Bounds of one decision outside guarantees.
+const (
+	borrowTries = 512  // waiting jobs for which a place is looked for
+	borrowLooks = 8192 // waiting jobs that are looked at
+)
 
 // borrow starts waiting jobs on capacity outside their guarantees. Jobs behind
 // one that waits may start where they don't delay it.
 func (s *Sched) borrow(now time.Time) {
-	blocked := 0
-	s.walk(borrowMost, func(j *job) bool {
+	blocked, tries, looks := 0, 0, 0
+	s.walk(func(j *job) bool {
+		if looks++; looks > borrowLooks || tries > borrowTries {
+			return false
+		}
+		if blocked >= s.opt.Reservations && s.vain(j) {
+			return true
+		}
+		tries++
 		if j.phase != queued || j.failing || !s.allowed(j) {
 			return true
 		}
@@ -50,25 +60,32 @@
 	return ok
 }
 
+// plain reports whether what was found for the job's shape holds for the job.
+func (s *Sched) plain(j *job) bool { return len(j.FailedOn) == 0 && s.held[j.ID] == nil }
+
+// vain reports whether a look for the same shape has failed since room was made.
+func (s *Sched) vain(j *job) bool {
+	return s.plain(j) && s.failed.has(j.Shape, j.view(), s.fleet)
+}
+
 func (s *Sched) tryBorrow(j *job, behind bool, now time.Time) bool {
 	if !j.Stoppable && len(s.short) > 0 {
 		return false
 	}
-	h := s.held[j.ID]
-	plain := h == nil && len(j.FailedOn) == 0
-	if plain && s.failed.has(j.Shape, j.view(), s.fleet.Freed()) {
+	if s.vain(j) {
 		return false
 	}
+	h := s.held[j.ID]
 	if h != nil {
 		s.fleet.Give(place.Reserved, h.cells, j.need)
 	}
-	cells, ok := s.fleet.Find(place.Query{Shape: j.Shape, View: j.view(), Avoid: s.avoid(j, now)})
+	cells, ok := s.findOutside(j, now)
 	if h != nil {
 		s.fleet.Take(place.Reserved, h.cells, j.need)
 	}
 	if !ok {
-		if plain {
-			s.failed.add(j.Shape, j.view(), s.fleet.Freed())
+		if s.plain(j) {
+			s.failed.add(j.Shape, j.view(), s.fleet)
 		}
 		return false
 	}
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -18,7 +18,7 @@
 func (s *Sched) Decide(now time.Time) []Decision {
 	s.probes(now)
 	s.escalate(now)
-	s.repair()
+	s.repairDue(now)
 	s.redeemClaims(now)
 	s.guaranteed(now)
 	s.borrow(now)
--- a/internal/sched/explain.go
+++ b/internal/sched/explain.go
@@ -71,7 +71,7 @@
 		e.Needs = append(e.Needs, "a guarantee of its team to become free")
 		return
 	}
-	cells, when, ok := s.earliest(j, now, anywhere)
+	cells, when, ok := s.earliest(j, now, outlook{})
 	if !ok {
 		e.Needs = append(e.Needs, "a guarantee of this shape, or less unstoppable work beside the guarantees")
 		return
--- a/internal/sched/migrate.go
+++ b/internal/sched/migrate.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	migrateEvery = time.Second // between two attempts
-	movedMost    = 3           // times that a job is stopped to make room
+	migrateEvery = 2 * time.Second // between two attempts
+	movedMost    = 3               // times that a job is stopped to make room
 	// Time that a move costs, in times of the grace for a checkpoint: the work
 	// is written, carried and read again.
 	moveCost = 2
@@ -74,6 +74,7 @@
 	for _, cell := range c.cells {
 		taken[cell.Worker] = true
 	}
+	freed := s.fleet.Freed()
 	var entered []*job
 	where := make(map[*job][]place.Cell)
 	ok := true
@@ -94,6 +95,7 @@
 	for _, v := range entered {
 		s.fleet.Give(place.Claimed, where[v], v.need)
 	}
+	s.fleet.Rewind(freed)
 	return ok
 }
 
@@ -178,7 +180,7 @@
 		return best
 	}
 	cur := best
-	for _, v := range s.movable(worker) {
+	for _, v := range s.movableOn(worker) {
 		soft = soft.Add(v.on(worker))
 		cur.victims = append(cur.victims, v)
 		cur.accels += v.Shape.TotalAccels()
@@ -191,7 +193,7 @@
 	return best
 }
 
-func (s *Sched) movable(worker string) []*job {
+func (s *Sched) movableOn(worker string) []*job {
 	var vs []*job
 	for _, v := range s.on[worker] {
 		if v.borrowing() && !v.stopping && v.phase == placed && v.moved < movedMost {
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -4,7 +4,6 @@
 	"container/heap"
 	"time"
 
-	"github.com/knapweedlug/knapweedlug/internal/place"
 	"github.com/knapweedlug/knapweedlug/pkg/model"
 )
 
@@ -40,16 +39,46 @@
 	return key
 }
 
-// perTeam is how many waiting jobs of one team are looked at in one decision.
-const perTeam = 64
+// chunk is how many waiting jobs of one team are copied out of its queue at a
+// time. A visit may take jobs out of the queue meanwhile.
+const chunk = 32
 
 // cursor walks through one team's queue.
 type cursor struct {
 	t      *team
 	jobs   []*job
+	last   *job
 	offset time.Duration
 }
 
+// fill copies the next jobs and reports whether there are any.
+func (c *cursor) fill() bool {
+	c.jobs = c.jobs[:0]
+	take := func(j *job) bool {
+		if c.last == nil || jobLess(c.last, j) {
+			c.jobs = append(c.jobs, j)
+		}
+		return len(c.jobs) < chunk
+	}
+	if c.last == nil {
+		c.t.queue.Ascend(take)
+	} else {
+		c.t.queue.AscendGreaterOrEqual(c.last, take)
+	}
+	if len(c.jobs) == 0 {
+		return false
+	}
+	last := *c.jobs[len(c.jobs)-1]
+	c.last = &last
+	return true
+}
+
+// next steps over the first job and reports whether there is another.
+func (c *cursor) next() bool {
+	c.jobs = c.jobs[1:]
+	return len(c.jobs) > 0 || c.fill()
+}
+
 func (c *cursor) key() time.Time { return c.jobs[0].key.Add(c.offset) }
 
 // cursors is a heap of the teams by the key of their next job.
@@ -75,27 +104,30 @@
 	return last
 }
 
-// walk visits up to most waiting jobs, the first served first, until visit
-// returns false. Teams that borrow much for their weight come later.
-func (s *Sched) walk(most int, visit func(*job) bool) {
+// walk visits waiting jobs, the first served first, until visit returns false.
+// Teams that borrow much for their weight come later.
+func (s *Sched) walk(visit func(*job) bool) {
 	var h cursors
 	for _, t := range s.teams {
-		if t.queue.Len() > 0 {
-			h = append(h, &cursor{t: t, jobs: firstJobs(t, min(most, perTeam)), offset: s.offset(t)})
+		if t.queue.Len() == 0 {
+			continue
+		}
+		c := &cursor{t: t, offset: s.offset(t)}
+		if c.fill() {
+			h = append(h, c)
 		}
 	}
 	heap.Init(&h)
-	for n := 0; n < most && h.Len() > 0; n++ {
+	for h.Len() > 0 {
 		c := h[0]
-		j := c.jobs[0]
-		if c.jobs = c.jobs[1:]; len(c.jobs) == 0 {
-			heap.Pop(&h)
-		} else {
-			heap.Fix(&h, 0)
-		}
-		if !visit(j) {
+		if !visit(c.jobs[0]) {
 			return
 		}
+		if c.next() {
+			heap.Fix(&h, 0)
+		} else {
+			heap.Pop(&h)
+		}
 	}
 }
 
@@ -114,25 +146,3 @@
 	}
 	return time.Duration(t.lent) * shareHandicap / time.Duration(max(t.Weight, 1))
 }
-
-// memo remembers which shapes found no room, until room is made.
-type memo map[memoKey]uint64
-
-type memoKey struct {
-	shape model.Shape
-	view  place.View
-}
-
-func (m memo) has(s model.Shape, v place.View, freed uint64) bool {
-	at, ok := m[memoKey{s, v}]
-	return ok && at == freed
-}
-
-const memoMost = 4096
-
-func (m memo) add(s model.Shape, v place.View, freed uint64) {
-	if len(m) >= memoMost {
-		clear(m)
-	}
-	m[memoKey{s, v}] = freed
-}
--- a/internal/sched/reserve.go
+++ b/internal/sched/reserve.go
@@ -9,6 +9,9 @@
 	"github.com/knapweedlug/knapweedlug/pkg/model"
 )
 
+// reserveScopes is how many scopes a reservation is looked for in.
+const reserveScopes = 512
+
 // holdWorth is how many times the grace for a checkpoint must lie between now
 // and a reservation for other work to start there meanwhile.
 const holdWorth = 8
@@ -92,19 +95,23 @@
 		return
 	}
 	s.searched = now
-	if cells, at, ok := s.earliest(j, now, s.reservedFor); ok {
+	if cells, at, ok := s.earliest(j, now, outlook{skip: s.reservedFor, scopes: reserveScopes}); ok {
 		s.reserve(j, cells, at.Add(s.opt.Grace))
 	}
 }
 
-// reservedFor reports whether the worker is reserved for another job. Two
-// reservations on one worker would wait for each other.
-func (s *Sched) reservedFor(worker string, j *job) bool {
-	_, reserved := s.reservedAt(worker, j)
-	return reserved
+// outlook narrows a search for the earliest start.
+type outlook struct {
+	skip   func(worker string, j *job) bool // workers to leave out
+	scopes int                              // scopes to look at, spread evenly; 0 means all
 }
 
-func anywhere(string, *job) bool { return false }
+func (o outlook) stride(n int) int {
+	if o.scopes == 0 {
+		return 1
+	}
+	return max(n/o.scopes, 1)
+}
 
 // redeem claims the reserved place once only work that started there after the
 // reservation is left on it.
@@ -157,10 +164,12 @@
 
 // earliest returns where and when the whole gang can be expected to find room,
 // from what runs now and how long such work has taken so far.
-func (s *Sched) earliest(j *job, now time.Time, skip func(string, *job) bool) ([]place.Cell, time.Time, bool) {
+func (s *Sched) earliest(j *job, now time.Time, o outlook) ([]place.Cell, time.Time, bool) {
 	var best []opening
-	for _, scope := range s.fleet.Scopes(j.Shape) {
-		os := s.openings(j, scope, now, skip)
+	scopes := s.fleet.Scopes(j.Shape)
+	for i := 0; i < len(scopes); i += o.stride(len(scopes)) {
+		scope := scopes[i]
+		os := s.openings(j, scope, now, o)
 		n, sum := 0, 0
 		for n < len(os) && sum < j.Shape.Members {
 			sum += os[n].members
@@ -192,10 +201,10 @@
 	return mergeCells(cells)
 }
 
-func (s *Sched) openings(j *job, workers []string, now time.Time, skip func(string, *job) bool) []opening {
+func (s *Sched) openings(j *job, workers []string, now time.Time, o outlook) []opening {
 	var os []opening
 	for _, w := range workers {
-		if !skip(w, j) && !j.avoids(w) {
+		if (o.skip == nil || !o.skip(w, j)) && !j.avoids(w) {
 			os = append(os, s.openingsOn(j, w, now)...)
 		}
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -37,6 +37,7 @@
 	searched   time.Time            // last search for room to reserve
 	tidied     time.Time            // last attempt to free a whole worker
 	repaired   uint64               // the fleet's Freed at the last vain repair
+	rebound    time.Time            // last attempt of a decision to bind all idle guarantees anew
 }
 
 // team is a team with its units and its waiting jobs.
@@ -82,6 +83,7 @@
 	s.possible = make(map[model.Shape]bool)
 	s.tried, s.searched, s.tidied = time.Time{}, time.Time{}, time.Time{}
 	s.repaired = 0
+	s.rebound = time.Time{}
 }
 
 // Reset forgets everything and starts from the committed state. Placed jobs
--- a/internal/sched/submit.go
+++ b/internal/sched/submit.go
@@ -132,7 +132,7 @@
 	if cells, ok := s.fleet.Find(place.Query{Shape: j.Shape, View: j.view()}); ok {
 		return start{at: now, pace: s.pace(cells)}, true
 	}
-	cells, at, ok := s.earliest(j, now, anywhere)
+	cells, at, ok := s.earliest(j, now, outlook{})
 	return start{at: at, pace: s.pace(cells)}, ok
 }
 
--- a/internal/sched/unit.go
+++ b/internal/sched/unit.go
@@ -35,6 +35,17 @@
 
 func (u *unit) idle() bool { return len(u.jobs) == 0 }
 
+// on returns what the unit takes of a worker.
+func (u *unit) on(worker string) place.Need {
+	var sum place.Need
+	for _, c := range u.cells {
+		if c.Worker == worker {
+			sum = sum.Add(u.need.Times(c.Count))
+		}
+	}
+	return sum
+}
+
 // suits reports whether the job could run in the unit if nothing else did.
 func (u *unit) suits(s model.Shape) bool {
 	if u.shape.Kind != "" && u.shape.Kind != s.Kind && s.Kind != "" {
--- a/internal/sched/witness.go
+++ b/internal/sched/witness.go
@@ -3,11 +3,15 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/knapweedlug/knapweedlug/internal/place"
 	"github.com/knapweedlug/knapweedlug/pkg/model"
 )
 
+// Time between two attempts of decisions to bind all idle guarantees anew.
+const reboundEvery = 10 * time.Second
+
 // growUnits adds the units that the team's guarantees ask for, still unbound.
 func (s *Sched) growUnits(t *team) {
 	have := make(map[string]bool, len(t.units))
@@ -105,20 +109,38 @@
 // repair binds the units that are short. Where there is no room as things
 // stand, reservations give way, then idle units are bound anew all together.
 func (s *Sched) repair() {
-	if len(s.short) == 0 || s.rebuilding {
+	s.bindShort()
+	if len(s.short) == 0 || s.rebuilding || s.repaired == s.fleet.Freed() {
+		return
+	}
+	for _, j := range s.sortedHolds() {
+		s.lift(j)
+	}
+	s.rebindIdle()
+	s.repaired = s.fleet.Freed()
+}
+
+// bindShort binds the short units that find room as things stand.
+func (s *Sched) bindShort() {
+	if s.rebuilding {
 		return
 	}
 	for _, u := range sortedUnits(s.short) {
 		s.bindFree(u)
 	}
-	if len(s.short) == 0 || s.repaired == s.fleet.Freed() {
+}
+
+// repairDue repairs with every decision what is easy, and now and then all.
+func (s *Sched) repairDue(now time.Time) {
+	if len(s.short) == 0 {
 		return
 	}
-	for _, j := range s.sortedHolds() {
-		s.lift(j)
+	if now.Sub(s.rebound) < reboundEvery {
+		s.bindShort()
+		return
 	}
-	s.rebindIdle()
-	s.repaired = s.fleet.Freed()
+	s.rebound = now
+	s.repair()
 }
 
 func (s *Sched) bindFree(u *unit) bool {
