contrl: roles may call only what is theirs; a lapse covers renewals after the last report; tests of gangs

An agent could have called the operators' API on control. A leader could have taken a lease for ended that was renewed through another control process after its last report: the margin (1 s) was shorter than the time for which a report counts as fresh (1.5 s). Both found by reading.

--- a/internal/contrl/contrl.go
+++ b/internal/contrl/contrl.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -119,15 +120,28 @@
 func (c *Control) methods() *wire.Mux {
 	mux := wire.NewMux(c.env.Log)
 	mux.Handle(wire.MethodLog, c.handleLog)
-	wire.HandleCall(mux, wire.MethodSync, c.handleSync)
-	wire.HandleCall(mux, wire.MethodRead, c.handleRead)
-	wire.HandleCall(mux, wire.MethodReport, onLeader(c, wire.MethodReport, c.report))
-	wire.HandleCall(mux, wire.MethodClaim, onLeader(c, wire.MethodClaim, c.claim))
-	wire.HandleCall(mux, wire.MethodSettle, onLeader(c, wire.MethodSettle, c.settle))
-	wire.HandleCall(mux, wire.MethodAPI, onLeader(c, wire.MethodAPI, c.serveAPI))
+	const entry, agent = "entry", "agent"
+	wire.HandleCall(mux, wire.MethodSync, allow(c.handleSync, entry, agent))
+	wire.HandleCall(mux, wire.MethodRead, allow(c.handleRead))
+	wire.HandleCall(mux, wire.MethodReport, allow(onLeader(c, wire.MethodReport, c.report), agent))
+	wire.HandleCall(mux, wire.MethodClaim, allow(onLeader(c, wire.MethodClaim, c.claim), entry))
+	wire.HandleCall(mux, wire.MethodSettle, allow(onLeader(c, wire.MethodSettle, c.settle), entry, agent))
+	wire.HandleCall(mux, wire.MethodAPI, allow(onLeader(c, wire.MethodAPI, c.serveAPI), entry))
 	return mux
 }
 
+// allow lets in the calls of some roles, and those that another control
+// process has let in and passes on.
+func allow[Req, Resp any](f func(context.Context, wire.Peer, Req) (Resp, error), roles ...string) func(context.Context, wire.Peer, Req) (Resp, error) {
+	return func(ctx context.Context, peer wire.Peer, req Req) (Resp, error) {
+		if peer.Role == RoleName || slices.Contains(roles, peer.Role) {
+			return f(ctx, peer, req)
+		}
+		var none Resp
+		return none, &wire.RemoteError{Code: wire.CodeRefused, Text: "role " + peer.Role + " may not call this"}
+	}
+}
+
 // Run implements kern.Runner.
 func (c *Control) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
--- /dev/null
+++ b/internal/contrl/gang_test.go
@@ -0,0 +1,130 @@
+package contrl
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/knapweedlug/knapweedlug/internal/seed"
+	"github.com/knapweedlug/knapweedlug/internal/state"
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+func TestMain(m *testing.M) { seed.Main(m) }
+
+var memberKinds = []state.MemberState{
+	state.MemberNone, state.MemberPrepared, state.MemberRunning, state.MemberCheckpointed,
+	state.MemberStopped, state.MemberFailed, state.MemberDone,
+}
+
+// drawGang draws a placed gang in any condition that reports can bring about.
+func drawGang(t *rapid.T) (state.Job, map[string]bool) {
+	n := rapid.IntRange(1, 5).Draw(t, "members")
+	j := state.Job{Job: model.Job{
+		ID: "j", Epoch: 7, Idempotent: rapid.Bool().Draw(t, "idempotent"),
+		State: rapid.SampledFrom([]model.JobState{model.JobPreparing, model.JobRunning, model.JobStopping}).Draw(t, "state"),
+	}}
+	j.Cancel = rapid.Bool().Draw(t, "cancel")
+	begun := rapid.Bool().Draw(t, "begun")
+	if j.State == model.JobRunning || begun && j.State == model.JobStopping {
+		j.Begun = j.Epoch
+	}
+	lost := map[string]bool{}
+	for i := range n {
+		w := fmt.Sprint("w", i)
+		j.Members = append(j.Members, model.Member{Index: i, Worker: w})
+		j.Status = append(j.Status, rapid.SampledFrom(memberKinds).Draw(t, "status"))
+		lost[w] = rapid.Bool().Draw(t, "lost")
+	}
+	return j, lost
+}
+
+// TestMoveGangProperties checks what every move of a gang must keep, whatever
+// its members reported and whoever was lost.
+func TestMoveGangProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		j, lost := drawGang(t)
+		now := time.Unix(1_000_000, 0)
+		f := gangFacts{now: now, placed: now, lapsed: func(w string) bool { return lost[w] }}
+		cmd := moveGang(j, f)
+		if cmd == nil {
+			return
+		}
+		switch {
+		case cmd.Start != nil:
+			for _, s := range j.Status {
+				if s != state.MemberPrepared {
+					t.Fatalf("started with a member that is %q", s)
+				}
+			}
+		case cmd.End != nil:
+			checkEnd(t, j, lost, cmd.End)
+		}
+	})
+}
+
+func checkEnd(t *rapid.T, j state.Job, lost map[string]bool, end *state.EndJob) {
+	for i, s := range j.Status {
+		if !s.AtRest() && !lost[j.Members[i].Worker] {
+			t.Fatalf("ended while member %d may run", i)
+		}
+		if !s.AtRest() && !end.Lapsed {
+			t.Fatalf("ended by a lapse without saying so")
+		}
+	}
+	if end.State == model.JobQueued && j.Begun == j.Epoch && !j.Idempotent {
+		t.Fatalf("queued again although it may not run twice")
+	}
+}
+
+// TestMoveGang follows a gang through the ordinary cases.
+func TestMoveGang(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	gang := func(s model.JobState, members ...state.MemberState) state.Job {
+		j := state.Job{Job: model.Job{ID: "j", Epoch: 7, State: s, Idempotent: true}, Status: members}
+		for i := range members {
+			j.Members = append(j.Members, model.Member{Index: i, Worker: fmt.Sprint("w", i)})
+		}
+		return j
+	}
+	tests := []struct {
+		name string
+		job  state.Job
+		late bool
+		want string
+	}{
+		{"waits for its leases", gang(model.JobPreparing, state.MemberPrepared, state.MemberNone), false, ""},
+		{"gives half prepared leases back", gang(model.JobPreparing, state.MemberPrepared, state.MemberNone), true, "stop"},
+		{"starts when all are prepared", gang(model.JobPreparing, state.MemberPrepared, state.MemberPrepared), false, "start"},
+		{"runs on", gang(model.JobRunning, state.MemberRunning, state.MemberPrepared), false, ""},
+		{"stops when a member failed", gang(model.JobRunning, state.MemberRunning, state.MemberFailed), false, "stop"},
+		{"stops when a member was stopped", gang(model.JobRunning, state.MemberRunning, state.MemberStopped), false, "stop"},
+		{"ends when all are done", gang(model.JobRunning, state.MemberDone, state.MemberDone), false, "done"},
+		{"waits for members to stop", gang(model.JobStopping, state.MemberRunning, state.MemberStopped), false, ""},
+		{"is queued again", gang(model.JobStopping, state.MemberFailed, state.MemberStopped), false, "queued"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := gangFacts{now: now, placed: now, lapsed: func(string) bool { return false }}
+			if tt.late {
+				f.placed = now.Add(-prepareLimit - time.Second)
+			}
+			require.Equal(t, tt.want, verb(moveGang(tt.job, f)))
+		})
+	}
+}
+
+func verb(cmd *state.Command) string {
+	switch {
+	case cmd == nil:
+		return ""
+	case cmd.Start != nil:
+		return "start"
+	case cmd.Stop != nil:
+		return "stop"
+	}
+	return string(cmd.End.State)
+}
--- a/internal/contrl/nodes.go
+++ b/internal/contrl/nodes.go
@@ -12,13 +12,18 @@
 )
 
 const (
+	// reportInterval is how often the leader is told which nodes are served
+	// here. It leaves room for one lost report within reportFresh.
+	reportInterval = 800 * time.Millisecond
 	// nodeForget is how long a node that is no longer heard of is listed.
 	nodeForget = 10 * time.Minute
 	// reportFresh is how recent a control process's word must be to count as
 	// all that it serves.
-	reportFresh = 1500 * time.Millisecond
-	// leaseMargin is kept beyond a lease's term for differences in clock rate.
-	leaseMargin = time.Second
+	reportFresh = 1800 * time.Millisecond
+	// leaseMargin is kept beyond a lease's term. It covers reportFresh, since a
+	// lease may have been renewed after the last report, and differences in
+	// clock rate.
+	leaseMargin = reportFresh + 400*time.Millisecond
 )
 
 // nodeInfo is where an entry or agent stands.
@@ -50,6 +55,7 @@
 	revisions map[string]uint64    // configuration that each control process has applied
 	heard     map[string]time.Time // when each worker's agent was last answered
 	since     time.Time            // when this process began to lead
+	next      time.Time            // when the leader is told next
 }
 
 func newNodes(clock kern.Clock) *nodes {
@@ -78,6 +84,18 @@
 	}
 }
 
+// due reports whether the leader is to be told of the nodes now.
+func (n *nodes) due() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.clock.Now()
+	if now.Before(n.next) {
+		return false
+	}
+	n.next = now.Add(reportInterval)
+	return true
+}
+
 // report returns the nodes served here, for the leader.
 func (n *nodes) report() []*wire.Node {
 	n.mu.Lock()
--- a/internal/contrl/vouch.go
+++ b/internal/contrl/vouch.go
@@ -69,16 +69,17 @@
 		return 0, err
 	}
 	rep := &wire.ReadReply{}
-	err = l.Call(ctx, wire.MethodRead, &wire.ReadRequest{Nodes: c.nodes.report(), Revision: c.state.View().Revision()}, rep)
+	req := &wire.ReadRequest{Revision: c.state.View().Revision()}
+	if req.Reported = c.nodes.due(); req.Reported {
+		req.Nodes = c.nodes.report()
+	}
+	err = l.Call(ctx, wire.MethodRead, req, rep)
 	return rep.Index, err
 }
 
 // handleRead answers another control process with a linearizable read index
 // and notes the nodes that it serves.
 func (c *Control) handleRead(ctx context.Context, peer wire.Peer, req *wire.ReadRequest) (*wire.ReadReply, error) {
-	if peer.Role != RoleName {
-		return nil, &wire.RemoteError{Code: wire.CodeRefused, Text: "only control processes read the log"}
-	}
 	index, err := c.node.Read(ctx)
 	if errors.Is(err, replog.ErrNotLeader) {
 		return nil, &wire.RemoteError{Code: wire.CodeNotLeader, Text: err.Error()}
@@ -86,7 +87,9 @@
 	if err != nil {
 		return nil, err
 	}
-	c.nodes.heardFrom(peer.Name, req.Revision, req.Nodes)
+	if req.Reported {
+		c.nodes.heardFrom(peer.Name, req.Revision, req.Nodes)
+	}
 	return &wire.ReadReply{Index: index}, nil
 }
 
--- a/internal/tool/capac/table.go
+++ b/internal/tool/capac/table.go
@@ -117,10 +117,10 @@
 		what, bench string
 		n           float64
 	}{
-		{"state: gangs and their leases", "BenchmarkMemoryJobs", jobs},
-		{"state: workers", "BenchmarkMemoryWorkers", agents},
-		{"state: plans kept 30 days", "BenchmarkMemoryPlans", plans},
-		{"state: claims with answers of 1 KiB", "BenchmarkMemoryClaims/answer=1024", claims},
+		{"state: gangs and their leases", "BenchmarkMemory/gang16", jobs},
+		{"state: workers", "BenchmarkMemory/worker", agents},
+		{"state: plans kept 30 days", "BenchmarkMemory/plan+revision", plans},
+		{"state: claims with answers of 1 KiB", "BenchmarkMemory/claim1KiB", claims},
 	} {
 		v, err := fs.value(x.bench, "B/1000")
 		if err != nil {
