Mend three tests of the stand-ins that let changes through

Cause: trials with changed code passed: no limit of connections, ids given twice after old leases were dropped, and live leases dropped as old ones. Change: the connection beyond the limit sends a request, so that a close of an idle one can't be taken for the limit; a live lease is held over the drop, and ids differ. Conclusion: mended.

--- a/internal/fakes/backend_test.go
+++ b/internal/fakes/backend_test.go
@@ -130,7 +130,9 @@
 		require.NoError(t, err)
 		require.NoError(t, hear(c, soon))
 	}
-	err = hear(dial(t, addr), soon)
+	beyond := dial(t, addr)
+	_, _ = beyond.Write([]byte("GET /healthz HTTP/1.1\r\nHost: b\r\n\r\n"))
+	err = hear(beyond, soon)
 	require.Error(t, err)
 	require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
 }
--- a/internal/fakes/platform_test.go
+++ b/internal/fakes/platform_test.go
@@ -190,13 +190,16 @@
 	require.Len(t, b.Tasks("w00"), 1)
 	second, err := b.hold("w00", "j", 2, 1)
 	require.NoError(t, err)
+	live, err := b.client.Hold(b.ctx, platf.HoldRequest{Worker: "w01", Job: "k", Epoch: 1, Deadline: b.Now().Add(time.Hour)})
+	require.NoError(t, err)
 	b.pass(10 * time.Minute)
-	require.Equal(t, []string{second.ID}, ids(b.Tasks("")))
+	require.Equal(t, []string{second.ID, live.ID}, ids(b.Tasks("")))
 	_, err = b.client.Stop(b.ctx, "l1", platf.StopRequest{Epoch: 2})
 	require.ErrorIs(t, err, platf.ErrUnknown)
 	third, err := b.hold("w00", "j", 3, 1)
 	require.NoError(t, err)
 	require.Equal(t, []string{second.ID, third.ID}, ids(b.Tasks("w00")))
+	require.NotContains(t, []string{second.ID, live.ID}, third.ID)
 }
 
 func ids(tasks []platf.Task) []string {
