--- a/internal/store/chunk.go
+++ b/internal/store/chunk.go
@@ -1,6 +1,8 @@
 package store
 
 import (
+	"fmt"
+
 	"github.com/cockroachdb/errors"
 
 	"github.com/knapweedlug/knapweedlug/internal/wire"
@@ -22,7 +24,7 @@
 	}
 	f, err := s.fs.Open(snapshotName(meta.GetIndex()), false)
 	if err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "open snapshot"), ErrNoSnapshot)
+		return nil, fmt.Errorf("%w: %w", ErrNoSnapshot, err)
 	}
 	b := make([]byte, min(uint64(maxBytes), meta.GetSize()-offset))
 	if len(b) > 0 {
--- a/internal/store/errors.go
+++ b/internal/store/errors.go
@@ -39,10 +39,10 @@
 // Is tells that a CorruptError is an ErrCorrupt.
 func (e *CorruptError) Is(target error) bool { return target == ErrCorrupt }
 
-// fullOr marks an error that stands for a lack of space as ErrFull.
+// fullOr makes an error that stands for a lack of space an ErrFull.
 func fullOr(err error) error {
 	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
-		return errors.Mark(err, ErrFull)
+		return fmt.Errorf("%w: %w", ErrFull, err)
 	}
 	return err
 }
