Test what a full disk leaves behind and who gets messages of an earlier self

TestGroupCommit depended on scheduling while the disk in memory took no time; syncs take 1 ms there now.

--- a/internal/replog/entries.go
+++ b/internal/replog/entries.go
@@ -98,7 +98,8 @@
 	return rest[:len(rest):len(rest)]
 }
 
-// takeUnsaved returns the entries to be written next.
+// takeUnsaved returns the entries to be written next: all of them, because
+// the messages of the same round rely on all. Queue and window bound them.
 func (l *entryLog) takeUnsaved() []*wire.LogEntry {
 	entries := l.from(l.saving+1, math.MaxInt)
 	l.saving += uint64(len(entries))
--- a/internal/replog/fault_test.go
+++ b/internal/replog/fault_test.go
@@ -221,6 +221,9 @@
 		b := newBench(t, "a", "b", "c")
 		b.propose("first")
 		h := b.hosts[b.leader()]
+		for _, other := range b.hosts {
+			other.disk.SetSyncDelay(time.Millisecond)
+		}
 		before := h.disk.Syncs()
 		var g errgroup.Group
 		for i := range 256 {
--- a/internal/replog/repair_test.go
+++ b/internal/replog/repair_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedlug/knapweedlug/internal/wire"
 )
 
 func TestSecondChangeWaitsForTheFirst(t *testing.T) {
@@ -109,9 +111,19 @@
 	_, err := a.core.replace("c", "c")
 	require.NoError(t, err)
 	var stages []RepairState
+	stalled := 0
 	s.runUntil("repaired", time.Minute, func() bool {
 		r := a.core.repairs()[0]
 		m, _ := a.core.members().get(c.incarnation)
+		if m.Role == Voter && m.Promoted <= a.core.commit {
+			if stalled++; stalled == 1 {
+				c.stall()
+			}
+			if stalled == 30 {
+				require.LessOrEqual(t, m.Repaired, a.core.commit, "the removal is not committed without the new member")
+				c.resume()
+			}
+		}
 		if n := len(stages); n == 0 || stages[n-1] != r.State {
 			stages = append(stages, r.State)
 		}
@@ -271,3 +283,20 @@
 	require.Greater(t, size, uint64(20*64))
 	require.Equal(t, a.state, c.state)
 }
+
+// TestMessagesForAnEarlierSelfAreDropped sends a wiped host a vote request
+// that was meant for what ran there before.
+func TestMessagesForAnEarlierSelfAreDropped(t *testing.T) {
+	s, _, b, _ := newTrio(t)
+	s.wipe(b)
+	s.run(2 * DefaultElection)
+	m := &wire.LogMessage{
+		Kind: wire.LogKind_LOG_KIND_VOTE, Cluster: "sim", From: "c", FromIncarnation: "c-1",
+		To: "b", ToIncarnation: "b-1", Term: 100, Index: 1000, LogTerm: 100,
+	}
+	b.core.step(s.local(b), m)
+	require.Zero(t, b.core.state.term)
+	m.ToIncarnation, m.Cluster = b.incarnation, "other"
+	b.core.step(s.local(b), m)
+	require.Zero(t, b.core.state.term)
+}
--- a/internal/replog/sim_test.go
+++ b/internal/replog/sim_test.go
@@ -53,7 +53,6 @@
 
 type simMail struct {
 	at   time.Duration
-	seq  int
 	from string
 	m    *wire.LogMessage
 }
--- a/internal/store/memdisk/memdisk.go
+++ b/internal/store/memdisk/memdisk.go
@@ -10,6 +10,7 @@
 	"slices"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -28,6 +29,7 @@
 	locked  bool
 	free    int64 // bytes left, or negative for no bound
 	syncs   int
+	delay   time.Duration
 	failing int // further syncs until one fails, if positive
 }
 
@@ -48,6 +50,13 @@
 	d.free = n
 }
 
+// SetSyncDelay makes each sync of a file take a time.
+func (d *Disk) SetSyncDelay(delay time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.delay = delay
+}
+
 // FailSync makes the n-th sync of a file from now on fail, as if the crash
 // came just then.
 func (d *Disk) FailSync(n int) {
@@ -283,6 +292,12 @@
 }
 
 func (f *file) Sync() error {
+	f.disk.mu.Lock()
+	delay := f.disk.delay
+	f.disk.mu.Unlock()
+	if delay > 0 {
+		time.Sleep(delay)
+	}
 	return f.locked(func() error {
 		f.disk.syncs++
 		if f.disk.failing > 0 {
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -300,3 +300,32 @@
 	require.EqualValues(t, 100, got.Entries[len(got.Entries)-1].GetIndex())
 	require.EqualValues(t, 90, got.Snapshot.GetIndex())
 }
+
+// TestFullDiskLeavesNothingBehind replaces the frame that found no space by
+// shorter ones, which begin other segments.
+func TestFullDiskLeavesNothingBehind(t *testing.T) {
+	for free := 0; free < 1500; free += 5 {
+		d := memdisk.New()
+		fill(t, d, 20)
+		st := open(t, d)
+		d.SetFree(int64(free))
+		saved := uint64(20)
+		for st.Save(entries(1, saved+1, 1)) == nil {
+			saved++
+		}
+		require.ErrorIs(t, st.Save(entries(1, saved+1, 3)), store.ErrFull)
+		d.SetFree(-1)
+		require.NoError(t, st.Save(&wire.LogFrame{State: &wire.LogState{Term: 2}}))
+		names, err := d.List()
+		require.NoError(t, err)
+		end := names[len(names)-1]
+		size := len(d.Content(end))
+		require.NoError(t, st.Save(&wire.LogFrame{State: &wire.LogState{Term: 2}}))
+		require.Equal(t, size+14+2, len(d.Content(end)), "bytes of a failed write remain")
+		for i := range uint64(60) {
+			require.NoError(t, st.Save(entries(3, saved+i, 1)))
+		}
+		d.Crash(nil)
+		require.Len(t, open(t, d).Contents().Entries, int(saved)+59)
+	}
+}
