admit: a retry time holds when the measured rate is a little off

Halving the told wait went unseen by the test (it only refused at the edge of the queue). Change: 10% and one run time more. 5000 checks pass; with half the wait the test fails.

--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -136,6 +136,9 @@
 	return it
 }
 
+// retryMargin is what the measured rate may be off when a retry time is told.
+const retryMargin = 1.1
+
 // fits refuses a request that the queue can't finish before its deadline.
 func (q *Queue) fits(s *service, l *ledger, it *item, now time.Time) error {
 	slack := it.start.Sub(now)
@@ -149,7 +152,8 @@
 	if wait <= slack && !full {
 		return nil
 	}
-	retryAt := now.Add(max(0, wait-slack))
+	excess := time.Duration(retryMargin * float64(max(0, wait-slack)))
+	retryAt := now.Add(excess + seconds(it.mean))
 	if l.promised.After(retryAt) {
 		retryAt = l.promised
 	}
--- a/internal/admit/retry_test.go
+++ b/internal/admit/retry_test.go
@@ -55,27 +55,31 @@
 		for i := range m.ends {
 			m.ends[i] = m.now.Add(m.size * time.Duration(i+1) / time.Duration(slots))
 		}
-		push := func(n int) error {
+		push := func(n int, budget time.Duration) error {
 			return m.q.Push(Request{
 				ID: strconv.Itoa(n), Team: "a", Service: "s", Idempotent: true,
 				SizeMs: m.size.Milliseconds(), Deadline: m.now.Add(budget),
 			}, m.now)
 		}
-		var told []time.Time
 		n := 0
-		for refused := rapid.IntRange(1, 5).Draw(t, "refused"); len(told) < refused; n++ {
+		for push(n, budget) == nil { // fill the queue
+			n++
+		}
+		hurry := time.Duration(rapid.IntRange(300, int(budget.Milliseconds())).Draw(t, "hurry")) * time.Millisecond
+		var told []time.Time
+		for range rapid.IntRange(1, 5).Draw(t, "refused") {
+			n++
+			err := push(n, hurry)
+			require.ErrorIs(t, err, ErrTooLate)
 			var refusal *Refusal
-			if err := push(n); err != nil {
-				require.ErrorAs(t, err, &refusal)
-				require.ErrorIs(t, err, ErrTooLate)
-				require.True(t, refusal.RetryAt.After(m.now))
-				told = append(told, refusal.RetryAt)
-			}
+			require.ErrorAs(t, err, &refusal)
+			require.True(t, refusal.RetryAt.After(m.now))
+			told = append(told, refusal.RetryAt)
 		}
 		for _, at := range told {
 			m.drain(at)
 			n++
-			require.NoError(t, push(n), "told to come back at %v", at)
+			require.NoError(t, push(n, hurry), "told to come back at %v", at)
 		}
 	})
 }
