--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -227,51 +227,6 @@
 	return true
 }
 
-// Expire returns the requests that can't meet their deadline any more. They
-// have not run.
-func (q *Queue) Expire(now time.Time) []Request {
-	for _, s := range q.services {
-		for _, l := range s.active {
-			q.expireLedger(s, l, now)
-		}
-	}
-	out := q.expired
-	q.expired = nil
-	return out
-}
-
-func (q *Queue) expireLedger(s *service, l *ledger, now time.Time) {
-	for level := range l.lines {
-		for class := range l.lines[level] {
-			line := &l.lines[level][class]
-			for it := line.head(); it != nil && it.start.Before(now); it = line.head() {
-				q.expire(s, l, it, now)
-			}
-		}
-	}
-}
-
-func (q *Queue) expire(s *service, l *ledger, it *item, now time.Time) {
-	s.remove(l, it, now)
-	delete(q.queued, it.r.ID)
-	q.expired = append(q.expired, it.r)
-}
-
-func (q *Queue) expireAll(s *service) {
-	for _, l := range s.active {
-		for level := range l.lines {
-			for class := range l.lines[level] {
-				for _, it := range l.lines[level][class].items {
-					if !it.gone {
-						delete(q.queued, it.r.ID)
-						q.expired = append(q.expired, it.r)
-					}
-				}
-			}
-		}
-	}
-}
-
 // Done ends a popped request. Took is its run time at the mean speed of the
 // fleet; it is learned from whole answers only.
 func (q *Queue) Done(r Request, took time.Duration, outcome Outcome, _ time.Time) {
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -194,29 +194,6 @@
 	return anyBest, admit.AnySlot
 }
 
-// Constants of exploration.
-const (
-	exploreEvery = 200 // picks; rare enough not to show in the 99th percentile
-	exploreScan  = 4   // backend servers that are looked at
-)
-
-// stale returns a backend server that hasn't been used for long, so that its
-// speed is learned anew, or else the given one.
-func (p *Picker) stale(class admit.Class, b *backend, kind admit.SlotClass) (*backend, admit.SlotClass) {
-	e := p.used.Front()
-	for i := 0; i < exploreScan && e != nil; i++ {
-		old := e.Value.(*backend)
-		switch {
-		case old.listed[1]:
-			return old, admit.AnySlot
-		case old.listed[0] && class == admit.Short:
-			return old, admit.ShortSlot
-		}
-		e = e.Next()
-	}
-	return b, kind
-}
-
 // Done ends a request that used a credit of the backend server. It returns the
 // run time at the mean speed of the fleet.
 func (p *Picker) Done(server string, r Result, now time.Time) time.Duration {
@@ -274,38 +251,6 @@
 
 func (p *Picker) relative(b *backend) float64 { return math.Exp(b.slow - p.mean()) }
 
-// suspend stops new requests to a backend server that fails everything, unless
-// half of the fleet is suspended already: then the requests are at fault.
-func (p *Picker) suspend(b *backend, now time.Time) {
-	if !b.until.IsZero() || 2*(len(p.suspended)+1) > len(p.backends) {
-		return
-	}
-	b.suspend(now)
-	p.suspended = append(p.suspended, b)
-}
-
-// release ends the suspensions that are over.
-func (p *Picker) release(now time.Time) {
-	for i := 0; i < len(p.suspended); {
-		b := p.suspended[i]
-		if now.Before(b.until) {
-			i++
-			continue
-		}
-		p.suspended = append(p.suspended[:i], p.suspended[i+1:]...)
-		p.change(b, func() { b.until = time.Time{} })
-	}
-}
-
-func (p *Picker) dropSuspended(b *backend) {
-	for i, other := range p.suspended {
-		if other == b {
-			p.suspended = append(p.suspended[:i], p.suspended[i+1:]...)
-			return
-		}
-	}
-}
-
 // change changes a backend server and keeps the trees in order.
 func (p *Picker) change(b *backend, f func()) {
 	p.unlist(b)
