--- a/cmd/knapload/main.go
+++ b/cmd/knapload/main.go
@@ -16,7 +16,7 @@
 value over the seeds.`
 
 func main() {
-	var seeds int
+	var first, seeds int
 	var plot string
 	cmd := &cobra.Command{
 		Use:          "knapload",
@@ -25,10 +25,11 @@
 		Args:         cobra.NoArgs,
 		SilenceUsage: true,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return run(cmd.OutOrStdout(), seeds, plot)
+			return run(cmd.OutOrStdout(), first, seeds, plot)
 		},
 	}
-	cmd.Flags().IntVar(&seeds, "seeds", 5, "number of seeds, from 1")
+	cmd.Flags().IntVar(&seeds, "seeds", 5, "number of seeds")
+	cmd.Flags().IntVar(&first, "first", 1, "first seed")
 	cmd.Flags().StringVar(&plot, "plot", "", "CSV file for every figure and the timeline of the crest")
 	if err := cmd.Execute(); err != nil {
 		os.Exit(1)
--- a/cmd/knapload/table.go
+++ b/cmd/knapload/table.go
@@ -15,12 +15,15 @@
 	"github.com/knapweedlug/knapweedlug/internal/load"
 )
 
-func run(w io.Writer, seeds int, plot string) error {
+func run(w io.Writer, first, seeds int, plot string) error {
+	if first < 0 {
+		return errors.Newf("first: %d is less than 0", first)
+	}
 	if seeds < 1 {
 		return errors.Newf("seeds: %d is less than 1", seeds)
 	}
 	var figures []load.Figure
-	for seed := 1; seed <= seeds; seed++ {
+	for seed := first; seed < first+seeds; seed++ {
 		figures = append(figures, load.MeasureGradinka(uint64(seed), load.Policies())...)
 		figures = append(figures, load.MeasureCrest(uint64(seed), load.Policies())...)
 	}
