--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/google/btree"
@@ -19,6 +18,7 @@
 	domains map[string]*group
 	byRack  [viewCount]*btree.BTreeG[rackEntry]
 	freed   freedLog
+	scoped  map[scopesKey][][]string // answers of Scopes while no worker changes
 }
 
 type rackEntry struct {
@@ -41,6 +41,7 @@
 		nodes:   make(map[string]*node),
 		racks:   make(map[string]*group),
 		domains: make(map[string]*group),
+		scoped:  make(map[scopesKey][][]string),
 	}
 	for v := range f.byRack {
 		f.byRack[v] = btree.NewG(btreeDegree, rackLess)
@@ -51,6 +52,7 @@
 // SetWorker adds or replaces a worker. What is taken on it stays taken. Only a
 // ready worker is found by searches.
 func (f *Fleet) SetWorker(w model.Worker) {
+	clear(f.scoped)
 	n, ok := f.nodes[w.Name]
 	if !ok {
 		n = newNode(w)
@@ -65,6 +67,7 @@
 
 // DropWorker removes a worker.
 func (f *Fleet) DropWorker(name string) {
+	clear(f.scoped)
 	n, ok := f.nodes[name]
 	if !ok {
 		return
@@ -123,44 +126,6 @@
 	return n.freeIn(v)
 }
 
-// Scopes returns the names of the ready workers that may hold a member of the
-// shape, grouped by the scopes that a gang of it must lie within.
-func (f *Fleet) Scopes(s model.Shape) [][]string {
-	var keys []string
-	groups := make(map[string][]string)
-	for _, n := range f.nodes {
-		if !n.indexed || !NeedOf(s).Fits(n.cap) || (s.Kind != "" && s.Kind != n.w.Kind) {
-			continue
-		}
-		key := ScopeOf(s.Near, n.w)
-		if groups[key] == nil {
-			keys = append(keys, key)
-		}
-		groups[key] = append(groups[key], n.w.Name)
-	}
-	slices.Sort(keys)
-	scopes := make([][]string, 0, len(keys))
-	for _, key := range keys {
-		slices.Sort(groups[key])
-		scopes = append(scopes, groups[key])
-	}
-	return scopes
-}
-
-// ScopeOf names the scope of a level of adjacency that the worker lies in.
-func ScopeOf(near model.Near, w model.Worker) string {
-	switch near {
-	case model.NearWorker:
-		return w.Name
-	case model.NearRack:
-		return w.Region + "/" + w.Domain + "/" + w.Rack
-	case model.NearDomain:
-		return w.Region + "/" + w.Domain
-	default:
-		return w.Region
-	}
-}
-
 // Unused returns what running members leave free on the worker, claims and
 // reservations aside.
 func (f *Fleet) Unused(worker string) Need {
@@ -250,81 +215,3 @@
 	n.rack.slot[v] = n.rack.accels[v]
 	f.byRack[v].ReplaceOrInsert(rackEntry{n.rack.slot[v], n.rack.name, n.rack})
 }
-
-// FreeAccels returns the accelerators that no running or claimed work uses.
-func (f *Fleet) FreeAccels() int {
-	sum := 0
-	for _, g := range f.domains {
-		sum += g.accels[Soft.index()]
-	}
-	return sum
-}
-
-// Count returns how many gangs of the shape fit into what running and claimed
-// work leaves free. Only accelerators are counted.
-func (f *Fleet) Count(s model.Shape) int {
-	rooms := make(map[string]int)
-	need := Need{Accels: s.Accels}
-	for _, n := range f.nodes {
-		if !n.indexed || (s.Kind != "" && s.Kind != n.w.Kind) {
-			continue
-		}
-		free := n.free[Soft.index()].Accels
-		rooms[ScopeOf(s.Near, n.w)] += need.Into(Need{Accels: max(free, 0)}, free)
-	}
-	sum := 0
-	for _, room := range rooms {
-		sum += room / s.Members
-	}
-	return sum
-}
-
-// Most returns how many members of the shape the best single scope has room
-// for at this instant, at most as many as the shape has.
-func (f *Fleet) Most(s model.Shape) int {
-	rooms := make(map[string]int)
-	most := 0
-	for _, n := range f.nodes {
-		if !n.indexed || (s.Kind != "" && s.Kind != n.w.Kind) {
-			continue
-		}
-		key := ScopeOf(s.Near, n.w)
-		rooms[key] += NeedOf(s).Into(n.free[Soft.index()], s.Members)
-		most = max(most, rooms[key])
-	}
-	return min(most, s.Members)
-}
-
-// Broken returns up to most ready workers that running and claimed work uses at
-// most half the accelerators of, the least used first.
-func (f *Fleet) Broken(most int) []string {
-	type broken struct {
-		name string
-		used int
-	}
-	var bs []broken
-	for _, p := range f.pools {
-		for a := p.key.accels - 1; a >= (p.key.accels+1)/2 && a > 0; a-- {
-			left := most
-			p.views[Soft.index()][a].Ascend(func(e entry) bool {
-				bs = append(bs, broken{e.name, p.key.accels - a})
-				left--
-				return left > 0
-			})
-		}
-	}
-	slices.SortFunc(bs, func(a, b broken) int {
-		return cmp.Or(cmp.Compare(a.used, b.used), cmp.Compare(a.name, b.name))
-	})
-	names := make([]string, 0, most)
-	for _, b := range bs[:min(most, len(bs))] {
-		names = append(names, b.name)
-	}
-	return names
-}
-
-// Whole reports whether all accelerators of the worker are free.
-func (f *Fleet) Whole(worker string) bool {
-	n, ok := f.nodes[worker]
-	return ok && n.indexed && n.whole(Soft.index())
-}
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -84,32 +84,41 @@
 	})
 }
 
-// whole counts gangs of 8 on a worker and pairs of them in a rack that still
-// fit, each weighted by its accelerators.
-func whole(f *Fleet) int {
-	return 8*f.Count(model.Shape{Members: 1, Accels: 8, Near: model.NearWorker}) +
-		16*f.Count(model.Shape{Members: 2, Accels: 8, Near: model.NearRack})
+// whole counts gangs of 8 on a worker and pairs of them in a rack of two that
+// still fit, each weighted by its accelerators.
+func whole(free []int) int {
+	sum := 0
+	for i := 0; i < len(free); i += 2 {
+		a, b := free[i]/8, free[i+1]/8
+		sum += 8*(a+b) + 16*(a&b)
+	}
+	return sum
 }
 
 // best returns what the best of all placements of the jobs leaves whole.
-func best(f *Fleet, names []string, jobs []int) int {
+func best(free, jobs []int) int {
 	if len(jobs) == 0 {
-		return whole(f)
+		return whole(free)
 	}
 	most := -1
-	need := Need{Cores: 1, Accels: jobs[0]}
-	for _, name := range names {
-		if !need.Fits(f.Free(name, Soft)) {
-			continue
+	for i := range free {
+		if free[i] >= jobs[0] {
+			free[i] -= jobs[0]
+			most = max(most, best(free, jobs[1:]))
+			free[i] += jobs[0]
 		}
-		cells := []Cell{{name, 1}}
-		f.Take(Running, cells, need)
-		most = max(most, best(f, names, jobs[1:]))
-		f.Give(Running, cells, need)
 	}
 	return most
 }
 
+func freeOf(f *Fleet, ws []model.Worker) []int {
+	free := make([]int, len(ws))
+	for i, w := range ws {
+		free[i] = f.Free(w.Name, Soft).Accels
+	}
+	return free
+}
+
 // greedy places the jobs one by one by the policy.
 func greedy(t *testing.T, p Policy, ws []model.Worker, taken []Cell, jobs []int) int {
 	f := New(p)
@@ -123,7 +132,7 @@
 		require.True(t, ok)
 		f.Take(Running, cells, NeedOf(s))
 	}
-	return whole(f)
+	return whole(freeOf(f, ws))
 }
 
 // TestNearOptimum compares what placements leave whole with the optimum found
@@ -133,15 +142,13 @@
 	var optimum, gradient, bestFit, firstFit int
 	for range 150 {
 		ws := make([]model.Worker, 6)
-		names := make([]string, len(ws))
 		var taken []Cell
 		f := New(Gradient)
 		for i := range ws {
 			ws[i] = worker(0, i/2, i, 8)
-			names[i] = ws[i].Name
 			f.SetWorker(ws[i])
 			if r.IntN(2) == 0 {
-				taken = append(taken, Cell{names[i], 1 + r.IntN(5)})
+				taken = append(taken, Cell{ws[i].Name, 1 + r.IntN(5)})
 			}
 		}
 		f.Take(Running, taken, Need{Cores: 1, Accels: 1})
@@ -149,7 +156,7 @@
 		for i := range jobs {
 			jobs[i] = 1 << r.IntN(3)
 		}
-		optimum += best(f, names, jobs)
+		optimum += best(freeOf(f, ws), jobs)
 		gradient += greedy(t, Gradient, ws, taken, jobs)
 		bestFit += greedy(t, BestFit, ws, taken, jobs)
 		firstFit += greedy(t, FirstFit, ws, taken, jobs)
--- /dev/null
+++ b/internal/place/scope.go
@@ -0,0 +1,146 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+const scopedMost = 256 // answers of Scopes that are kept
+
+// scopesKey is what an answer of Scopes depends on.
+type scopesKey struct {
+	near model.Near
+	kind string
+	need Need
+}
+
+// Scopes returns the names of the ready workers that may hold a member of the
+// shape, grouped by the scopes that a gang of it must lie within.
+func (f *Fleet) Scopes(s model.Shape) [][]string {
+	key := scopesKey{s.Near, s.Kind, NeedOf(s)}
+	scopes, known := f.scoped[key]
+	if !known {
+		if len(f.scoped) >= scopedMost {
+			clear(f.scoped)
+		}
+		scopes = f.scopesOf(s)
+		f.scoped[key] = scopes
+	}
+	return scopes
+}
+
+func (f *Fleet) scopesOf(s model.Shape) [][]string {
+	var keys []string
+	groups := make(map[string][]string)
+	for _, n := range f.nodes {
+		if !n.indexed || !NeedOf(s).Fits(n.cap) || (s.Kind != "" && s.Kind != n.w.Kind) {
+			continue
+		}
+		key := ScopeOf(s.Near, n.w)
+		if groups[key] == nil {
+			keys = append(keys, key)
+		}
+		groups[key] = append(groups[key], n.w.Name)
+	}
+	slices.Sort(keys)
+	scopes := make([][]string, 0, len(keys))
+	for _, key := range keys {
+		slices.Sort(groups[key])
+		scopes = append(scopes, groups[key])
+	}
+	return scopes
+}
+
+// ScopeOf names the scope of a level of adjacency that the worker lies in.
+func ScopeOf(near model.Near, w model.Worker) string {
+	switch near {
+	case model.NearWorker:
+		return w.Name
+	case model.NearRack:
+		return w.Region + "/" + w.Domain + "/" + w.Rack
+	case model.NearDomain:
+		return w.Region + "/" + w.Domain
+	default:
+		return w.Region
+	}
+}
+
+// FreeAccels returns the accelerators that no running or claimed work uses.
+func (f *Fleet) FreeAccels() int {
+	sum := 0
+	for _, g := range f.domains {
+		sum += g.accels[Soft.index()]
+	}
+	return sum
+}
+
+// Count returns how many gangs of the shape fit into what running and claimed
+// work leaves free. Only accelerators are counted.
+func (f *Fleet) Count(s model.Shape) int {
+	rooms := make(map[string]int)
+	need := Need{Accels: s.Accels}
+	for _, n := range f.nodes {
+		if !n.indexed || (s.Kind != "" && s.Kind != n.w.Kind) {
+			continue
+		}
+		free := n.free[Soft.index()].Accels
+		rooms[ScopeOf(s.Near, n.w)] += need.Into(Need{Accels: max(free, 0)}, free)
+	}
+	sum := 0
+	for _, room := range rooms {
+		sum += room / s.Members
+	}
+	return sum
+}
+
+// Most returns how many members of the shape the best single scope has room
+// for at this instant, at most as many as the shape has.
+func (f *Fleet) Most(s model.Shape) int {
+	rooms := make(map[string]int)
+	most := 0
+	for _, n := range f.nodes {
+		if !n.indexed || (s.Kind != "" && s.Kind != n.w.Kind) {
+			continue
+		}
+		key := ScopeOf(s.Near, n.w)
+		rooms[key] += NeedOf(s).Into(n.free[Soft.index()], s.Members)
+		most = max(most, rooms[key])
+	}
+	return min(most, s.Members)
+}
+
+// Broken returns up to most ready workers that running and claimed work uses at
+// most half the accelerators of, the least used first.
+func (f *Fleet) Broken(most int) []string {
+	type broken struct {
+		name string
+		used int
+	}
+	var bs []broken
+	for _, p := range f.pools {
+		for a := p.key.accels - 1; a >= (p.key.accels+1)/2 && a > 0; a-- {
+			left := most
+			p.views[Soft.index()][a].Ascend(func(e entry) bool {
+				bs = append(bs, broken{e.name, p.key.accels - a})
+				left--
+				return left > 0
+			})
+		}
+	}
+	slices.SortFunc(bs, func(a, b broken) int {
+		return cmp.Or(cmp.Compare(a.used, b.used), cmp.Compare(a.name, b.name))
+	})
+	names := make([]string, 0, most)
+	for _, b := range bs[:min(most, len(bs))] {
+		names = append(names, b.name)
+	}
+	return names
+}
+
+// Whole reports whether all accelerators of the worker are free.
+func (f *Fleet) Whole(worker string) bool {
+	n, ok := f.nodes[worker]
+	return ok && n.indexed && n.whole(Soft.index())
+}
--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"testing"
 	"time"
+	"unsafe"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
@@ -131,12 +132,13 @@
 // threadTime returns the processor time of the calling thread, so that other
 // work on the machine doesn't count.
 func threadTime() time.Duration {
-	const thread = 1 // RUSAGE_THREAD
-	var u syscall.Rusage
-	if err := syscall.Getrusage(thread, &u); err != nil {
-		panic(err)
+	const threadClock = 3 // CLOCK_THREAD_CPUTIME_ID
+	var ts syscall.Timespec
+	_, _, errno := syscall.RawSyscall(syscall.SYS_CLOCK_GETTIME, threadClock, uintptr(unsafe.Pointer(&ts)), 0)
+	if errno != 0 {
+		panic(errno)
 	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+	return time.Duration(ts.Nano())
 }
 
 var sizes = []int{10, 100, 1000, 13000}
--- a/internal/sched/migrate.go
+++ b/internal/sched/migrate.go
@@ -10,6 +10,7 @@
 
 const (
 	migrateEvery = 2 * time.Second // between two attempts
+	clearScopes  = 512             // scopes that one attempt looks at, others the next time
 	movedMost    = 3               // times that a job is stopped to make room
 	// Time that a move costs, in times of the grace for a checkpoint: the work
 	// is written, carried and read again.
@@ -103,8 +104,11 @@
 func (s *Sched) clearing(j *job) (clearing, bool) {
 	var best clearing
 	found := false
-	for _, scope := range s.fleet.Scopes(j.Shape) {
-		c, ok := s.clearScope(j, scope)
+	scopes := s.fleet.Scopes(j.Shape)
+	stride := outlook{scopes: clearScopes}.stride(len(scopes))
+	s.rotor++
+	for i := s.rotor % stride; i < len(scopes); i += stride {
+		c, ok := s.clearScope(j, scopes[i])
 		if ok && (!found || c.accels < best.accels) {
 			best, found = c, true
 		}
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -49,6 +49,7 @@
 	jobs   []*job
 	last   *job
 	offset time.Duration
+	at     time.Time // key of the first job with the team's offset
 }
 
 // fill copies the next jobs and reports whether there are any.
@@ -70,23 +71,26 @@
 	}
 	last := *c.jobs[len(c.jobs)-1]
 	c.last = &last
+	c.at = c.jobs[0].key.Add(c.offset)
 	return true
 }
 
 // next steps over the first job and reports whether there is another.
 func (c *cursor) next() bool {
 	c.jobs = c.jobs[1:]
-	return len(c.jobs) > 0 || c.fill()
+	if len(c.jobs) == 0 {
+		return c.fill()
+	}
+	c.at = c.jobs[0].key.Add(c.offset)
+	return true
 }
 
-func (c *cursor) key() time.Time { return c.jobs[0].key.Add(c.offset) }
-
 // cursors is a heap of the teams by the key of their next job.
 type cursors []*cursor
 
 func (c cursors) Len() int { return len(c) }
 func (c cursors) Less(i, j int) bool {
-	a, b := c[i].key(), c[j].key()
+	a, b := c[i].at, c[j].at
 	if a.Equal(b) {
 		return c[i].t.Name < c[j].t.Name
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -36,6 +36,7 @@
 	tried      time.Time            // last attempt to make room for a starving gang
 	searched   time.Time            // last search for room to reserve
 	tidied     time.Time            // last attempt to free a whole worker
+	rotor      int                  // attempts to make room, to look elsewhere each time
 	repaired   uint64               // the fleet's Freed at the last vain repair
 	rebound    time.Time            // last attempt of a decision to bind all idle guarantees anew
 }
@@ -83,6 +84,7 @@
 	s.possible = make(map[model.Shape]bool)
 	s.tried, s.searched, s.tidied = time.Time{}, time.Time{}, time.Time{}
 	s.repaired = 0
+	s.rotor = 0
 	s.rebound = time.Time{}
 }
 
--- a/internal/sched/tidy.go
+++ b/internal/sched/tidy.go
@@ -7,15 +7,15 @@
 )
 
 const (
-	tidyEvery = 10 * time.Second // between two attempts
-	tidyMost  = 16               // workers that are looked at
-	tidyWorth = 3                // times its cost that moved work must still run for
+	tidyEvery = 3 * time.Second // between two attempts
+	tidyMost  = 16              // workers that are looked at
+	tidyWorth = 2               // times its cost that moved work must still run for
 )
 
 // tidy moves stoppable work off a worker that little of is used, where that
 // work finds room on workers that are broken anyway. A whole worker is left.
 func (s *Sched) tidy(now time.Time) {
-	if s.opt.NoMigration || s.opt.Strict || len(s.claims) > 0 || now.Sub(s.tidied) < tidyEvery {
+	if s.opt.NoMigration || s.opt.Strict || now.Sub(s.tidied) < tidyEvery {
 		return
 	}
 	s.tidied = now
