state: a placement that overbooks a worker is refused

Two gangs could be placed on the same accelerators by a scheduler that reads a stopping job's room as free. Apply now counts every member held by a worker until its job has ended; TestWorkersAreNotOverbooked failed before.

--- a/internal/state/job.go
+++ b/internal/state/job.go
@@ -55,15 +55,6 @@
 	Reason string    `json:"reason,omitempty"`
 }
 
-// PlaceJob takes a queued job to its workers under a new fencing epoch, which
-// is the log index of the command.
-type PlaceJob struct {
-	ID       string         `json:"id"`
-	Members  []model.Member `json:"members"`
-	Borrowed bool           `json:"borrowed,omitempty"` // outside its team's guarantee
-	Seen     uint64         `json:"seen,omitempty"`     // View.Fleet that the placement was decided on; 0 means unchecked
-}
-
 // StartJob is the one decision that starts every member of a gang. It is
 // refused unless all members were prepared under the epoch.
 type StartJob struct {
@@ -89,54 +80,6 @@
 	Lapsed bool           `json:"lapsed,omitempty"` // the leader knows that every lease under the epoch has run out
 }
 
-func (d *data) placeJob(c PlaceJob) Result {
-	j, err := d.findJob(c.ID)
-	if err != nil {
-		return failed(err)
-	}
-	if j.State != model.JobQueued {
-		return failed(badState(j))
-	}
-	if c.Seen != 0 && c.Seen != d.fleet {
-		return failed(errors.Wrapf(ErrSuperseded, "decided at %d, last change at %d", c.Seen, d.fleet))
-	}
-	members, err := d.checkMembers(j, c.Members)
-	if err != nil {
-		return failed(err)
-	}
-	j.Job = j.WithState(model.JobPreparing, "")
-	j.Epoch = d.index
-	j.Members = members
-	j.Borrowed = c.Borrowed
-	j.Attempts++
-	j.Status = make([]MemberState, len(members))
-	d.fleet = d.index
-	j.Moved = d.index
-	d.putJob(j)
-	d.assignAll(j)
-	return Result{Job: &j}
-}
-
-// checkMembers returns the members in order, with the names that the workers'
-// table holds, so that the strings aren't kept twice.
-func (d *data) checkMembers(j Job, in []model.Member) ([]model.Member, error) {
-	if len(in) != j.Shape.Members {
-		return nil, errors.Wrapf(ErrRefused, "members: %d given, the shape has %d", len(in), j.Shape.Members)
-	}
-	out := make([]model.Member, len(in))
-	for i, m := range in {
-		if m.Index != i {
-			return nil, errors.Wrapf(ErrRefused, "members[%d].index: %d", i, m.Index)
-		}
-		w, ok := d.workers.get(m.Worker)
-		if !ok || w.State != model.WorkerReady {
-			return nil, errors.Wrapf(ErrRefused, "members[%d].worker: %q is not ready", i, m.Worker)
-		}
-		out[i] = model.Member{Index: i, Worker: w.Name}
-	}
-	return out, nil
-}
-
 func (d *data) startJob(c StartJob) Result {
 	j, err := d.findLease(c.ID, c.Epoch)
 	if err != nil {
--- a/internal/state/job_test.go
+++ b/internal/state/job_test.go
@@ -167,6 +167,32 @@
 	require.ErrorIs(t, out.Err, ErrSuperseded, "a placement takes capacity away")
 }
 
+func TestWorkersAreNotOverbooked(t *testing.T) {
+	r := ready(t)
+	on := func(id string, workers ...string) error {
+		var m []model.Member
+		for i, w := range workers {
+			m = append(m, model.Member{Index: i, Worker: w})
+		}
+		return r.apply(Command{Place: &PlaceJob{ID: id, Members: m}}).Err
+	}
+	big := func(id string, members, accels int, kind string) {
+		op := submit(id, "linen", members, true)
+		op.Job.Shape.Accels, op.Job.Shape.Kind = accels, kind
+		r.carry(op)
+	}
+	big("a", 2, 5, "a")
+	require.ErrorContains(t, on("a", "w00", "w00"), `members[1].worker: "w00" has no room`)
+	require.NoError(t, on("a", "w00", "w01"))
+	big("b", 1, 4, "")
+	require.ErrorIs(t, on("b", "w00"), ErrRefused)
+	epoch := r.job("a").Epoch
+	r.must(Command{Stop: &StopJob{ID: "a", Epoch: epoch}})
+	require.ErrorIs(t, on("b", "w00"), ErrRefused, "what is stopping still holds its accelerators")
+	r.must(Command{End: &EndJob{ID: "a", Epoch: epoch, State: model.JobFailed, Lapsed: true}})
+	require.NoError(t, on("b", "w00"))
+}
+
 func TestAssignmentsCarryChangesOnly(t *testing.T) {
 	r := ready(t)
 	one := r.running("j1", 1, true)
--- /dev/null
+++ b/internal/state/place.go
@@ -0,0 +1,98 @@
+package state
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+// PlaceJob takes a queued job to its workers under a new fencing epoch, which
+// is the log index of the command.
+type PlaceJob struct {
+	ID       string         `json:"id"`
+	Members  []model.Member `json:"members"`
+	Borrowed bool           `json:"borrowed,omitempty"` // outside its team's guarantee
+	Seen     uint64         `json:"seen,omitempty"`     // View.Fleet that the placement was decided on; 0 means unchecked
+}
+
+func (d *data) placeJob(c PlaceJob) Result {
+	j, err := d.findJob(c.ID)
+	if err != nil {
+		return failed(err)
+	}
+	if j.State != model.JobQueued {
+		return failed(badState(j))
+	}
+	if c.Seen != 0 && c.Seen != d.fleet {
+		return failed(errors.Wrapf(ErrSuperseded, "decided at %d, last change at %d", c.Seen, d.fleet))
+	}
+	members, err := d.checkMembers(j, c.Members)
+	if err != nil {
+		return failed(err)
+	}
+	j.Job = j.WithState(model.JobPreparing, "")
+	j.Epoch = d.index
+	j.Members = members
+	j.Borrowed = c.Borrowed
+	j.Attempts++
+	j.Status = make([]MemberState, len(members))
+	d.fleet = d.index
+	j.Moved = d.index
+	d.putJob(j)
+	d.assignAll(j)
+	return Result{Job: &j}
+}
+
+// checkMembers returns the members in order, with the names that the workers'
+// table holds, so that the strings aren't kept twice. It refuses members on
+// workers that aren't ready or haven't the room: work that is still stopping
+// there counts until its job has ended.
+func (d *data) checkMembers(j Job, in []model.Member) ([]model.Member, error) {
+	if len(in) != j.Shape.Members {
+		return nil, errors.Wrapf(ErrRefused, "members: %d given, the shape has %d", len(in), j.Shape.Members)
+	}
+	out := make([]model.Member, len(in))
+	left := map[string]room{}
+	for i, m := range in {
+		if m.Index != i {
+			return nil, errors.Wrapf(ErrRefused, "members[%d].index: %d", i, m.Index)
+		}
+		w, ok := d.workers.get(m.Worker)
+		if !ok || w.State != model.WorkerReady {
+			return nil, errors.Wrapf(ErrRefused, "members[%d].worker: %q is not ready", i, m.Worker)
+		}
+		if _, seen := left[w.Name]; !seen {
+			left[w.Name] = d.free(w)
+		}
+		left[w.Name] = left[w.Name].less(j.Shape)
+		if left[w.Name].short() || (j.Shape.Kind != "" && j.Shape.Kind != w.Kind) {
+			return nil, errors.Wrapf(ErrRefused, "members[%d].worker: %q has no room for the shape", i, m.Worker)
+		}
+		out[i] = model.Member{Index: i, Worker: w.Name}
+	}
+	return out, nil
+}
+
+// room is what a worker has left for further members.
+type room struct {
+	cores  int
+	memory int64
+	accels int
+}
+
+func (r room) less(s model.Shape) room {
+	return room{cores: r.cores - s.Cores, memory: r.memory - s.Memory, accels: r.accels - s.Accels}
+}
+
+func (r room) short() bool { return r.cores < 0 || r.memory < 0 || r.accels < 0 }
+
+// free returns what the worker's tasks leave of it.
+func (d *data) free(w *Worker) room {
+	r := room{cores: w.Cores, memory: w.Memory, accels: w.Accels}
+	for _, t := range w.Tasks {
+		if j, ok := d.jobs.get(t.Job); ok {
+			r = r.less(j.Shape)
+		}
+	}
+	return r
+}
