--- a/internal/state/claim_test.go
+++ b/internal/state/claim_test.go
@@ -60,6 +60,7 @@
 	require.Equal(t, []string{"k2", "k3", "k1"}, late())
 	r.must(Command{Expire: &Expire{}})
 	require.Empty(t, late())
+	require.Zero(t, r.s.View().Counts().Flight)
 }
 
 func TestStoredAnswerIsFinal(t *testing.T) {
@@ -115,6 +116,7 @@
 	require.Equal(t, 1, r.must(Command{Expire: &Expire{}}).Expired)
 	_, ok = r.s.View().Claim("linen", "k")
 	require.False(t, ok)
+	require.Greater(t, r.claim("k", "h", "a2").Claim.Claim.Epoch, first.Epoch, "epochs never repeat")
 }
 
 func TestBadClaims(t *testing.T) {
--- a/internal/state/job_test.go
+++ b/internal/state/job_test.go
@@ -72,6 +72,7 @@
 	r.must(Command{End: &EndJob{ID: "j", Epoch: old, State: model.JobQueued}})
 	fresh := r.place("j", 2).Job.Epoch
 	require.Greater(t, fresh, old)
+	require.Equal(t, r.index, fresh, "log indexes never repeat, also when a job's id does")
 	require.ErrorIs(t, r.apply(Command{Start: &StartJob{ID: "j", Epoch: old}}).Err, ErrFenced)
 	require.ErrorIs(t, r.apply(Command{Stop: &StopJob{ID: "j", Epoch: old}}).Err, ErrFenced)
 	require.ErrorIs(t, r.apply(Command{End: &EndJob{ID: "j", Epoch: old, State: model.JobFailed}}).Err, ErrFenced)
@@ -229,6 +230,7 @@
 	require.Equal(t, model.WorkerCordoned, mark(MarkCordon))
 	require.Equal(t, model.WorkerQuarantine, mark(MarkQuarantine))
 	require.Equal(t, model.WorkerLost, mark(MarkLost))
+	require.Equal(t, model.WorkerLost, mark(MarkCordon))
 	require.Equal(t, model.WorkerQuarantine, mark(MarkReturned))
 	require.Equal(t, model.WorkerCordoned, mark(MarkReleased))
 	require.Equal(t, model.WorkerReady, mark(MarkUncordon))
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -85,7 +85,8 @@
 	Live      int `json:"live"` // jobs that haven't ended
 	Plans     int `json:"plans"`
 	Claims    int `json:"claims"`
-	Due       int `json:"due"` // records that have a deadline
+	Flight    int `json:"flight"` // claims without an outcome
+	Due       int `json:"due"`    // records that have a deadline
 }
 
 // Counts returns how much the state holds.
@@ -93,7 +94,7 @@
 	d := v.data
 	return Counts{
 		Revisions: d.history.size(), Workers: d.workers.size(), Jobs: d.jobs.size(),
-		Live: d.open.size(), Plans: d.plans.size(), Claims: d.claims.size(), Due: d.due.size(),
+		Live: d.open.size(), Plans: d.plans.size(), Claims: d.claims.size(), Flight: d.flight.size(), Due: d.due.size(),
 	}
 }
 
