conf: a holder passes changes on to processes further down

An entry that relays configuration to agents had only full copies to give. State and relay share Config.Since.

--- a/internal/conf/delta.go
+++ b/internal/conf/delta.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -42,6 +43,41 @@
 	return Delta{Revision: c.revision, Full: true, Teams: c.Teams(), Services: c.Services()}
 }
 
+// Since returns the delta that takes a configuration from an earlier revision
+// to this one, given the names of what was set or dropped in between. Names may
+// stand in the lists more than once.
+func (c Config) Since(from uint64, teams, services []string) Delta {
+	d := Delta{From: from, Revision: c.revision}
+	d.Teams, d.DroppedTeams = split(c.teams, teams)
+	d.Services, d.DroppedServices = split(c.services, services)
+	return d
+}
+
+// split returns the present values of the names, in order, and the names that
+// have none.
+func split[T any](held map[string]T, names []string) (present []T, dropped []string) {
+	names = slices.Sorted(slices.Values(names))
+	for _, name := range slices.Compact(names) {
+		if v, ok := held[name]; ok {
+			present = append(present, v)
+			continue
+		}
+		dropped = append(dropped, name)
+	}
+	return present, dropped
+}
+
+// names returns the teams and services that the delta sets or drops.
+func (d Delta) names() (teams, services []string) {
+	for _, t := range d.Teams {
+		teams = append(teams, t.Name)
+	}
+	for _, s := range d.Services {
+		services = append(services, s.Name)
+	}
+	return append(teams, d.DroppedTeams...), append(services, d.DroppedServices...)
+}
+
 // Apply returns the configuration at the delta's end. A delta that begins
 // below the configuration's revision applies too, since it carries values and
 // not differences; one that ends below it is refused.
--- a/internal/conf/holder.go
+++ b/internal/conf/holder.go
@@ -22,6 +22,7 @@
 
 	mu       sync.RWMutex
 	cfg      Config
+	trail    trail
 	loaded   bool
 	heard    uint64 // highest revision known to exist
 	deadline time.Time
@@ -49,6 +50,7 @@
 		return err
 	}
 	h.cfg = cfg
+	h.trail = h.trail.with(d)
 	h.loaded = true
 	h.heard = max(h.heard, d.Revision)
 	return nil
@@ -106,6 +108,25 @@
 	return h.heard > h.cfg.Revision()
 }
 
+// Since returns what a process further down needs to get from a revision to the
+// one held: the changes, or a full copy when it is too far behind. It returns
+// false while nothing is held.
+func (h *Holder) Since(from uint64) (Delta, bool) {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	if !h.loaded {
+		return Delta{}, false
+	}
+	return h.trail.since(from, h.cfg).WithCluster(h.cluster), true
+}
+
+// Left returns for how long the revision held may still be acted upon. A relay
+// passes this on, since clocks of two hosts can't be compared: the process
+// further down vouches until the time at which it asked plus what was left.
+func (h *Holder) Left(now time.Time) time.Duration {
+	return max(0, h.Deadline().Sub(now))
+}
+
 // Config returns the configuration held.
 func (h *Holder) Config() Config {
 	h.mu.RLock()
--- a/internal/conf/holder_test.go
+++ b/internal/conf/holder_test.go
@@ -137,6 +137,50 @@
 	})
 }
 
+// TestRelayPassesChangesOn has a second process live off a holder alone.
+func TestRelayPassesChangesOn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		relay, down := conf.NewHolder("c"), conf.NewHolder("c")
+		_, ok := relay.Since(0)
+		require.False(t, ok)
+		current := uint64(1)
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			from := relay.Revision()
+			current = max(current, from) + rapid.Uint64Range(0, 3).Draw(t, "commits")
+			d := between(from, current)
+			if from == 0 || rapid.IntRange(0, 9).Draw(t, "full") == 0 {
+				d = full(current)
+			}
+			require.NoError(t, relay.Apply(d))
+			if rapid.Bool().Draw(t, "pass") {
+				d, ok := relay.Since(down.Revision())
+				require.True(t, ok)
+				require.NoError(t, down.Apply(d))
+				require.Equal(t, encode(t, at(current)), encode(t, down.Config()))
+			}
+		}
+		ahead, _ := relay.Since(current + 1)
+		require.True(t, ahead.Full)
+	})
+}
+
+func TestRelayNamesOnlyWhatChanged(t *testing.T) {
+	h := conf.NewHolder("c")
+	require.NoError(t, h.Apply(full(3)))
+	for n := uint64(4); n < 2000; n++ {
+		c := conf.Config{}.WithTeam(model.Team{Name: fmt.Sprintf("n%d", n)}).WithRevision(n)
+		require.NoError(t, h.Apply(c.Since(n-1, []string{fmt.Sprintf("n%d", n)}, nil).WithCluster("c")))
+	}
+	near, _ := h.Since(1990)
+	require.False(t, near.Full)
+	require.Len(t, near.Teams, 9)
+	far, _ := h.Since(900)
+	require.True(t, far.Full, "the trail is bounded")
+	h.Vouch(start.Add(conf.Bound))
+	require.Equal(t, time.Second, h.Left(start.Add(3*time.Second)))
+	require.Zero(t, h.Left(start.Add(time.Minute)))
+}
+
 func encode(t require.TestingT, c conf.Config) string {
 	b, err := json.Marshal(c)
 	require.NoError(t, err)
--- a/internal/state/revise.go
+++ b/internal/state/revise.go
@@ -2,8 +2,6 @@
 
 import (
 	"iter"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/knapweedlug/knapweedlug/internal/conf"
@@ -74,31 +72,10 @@
 	if from == 0 || !known {
 		return d.config.Full()
 	}
-	teams, services := map[string]bool{}, map[string]bool{}
+	var teams, services []string
 	for _, r := range d.history.from(from + 1) {
-		note(teams, r.Teams)
-		note(services, r.Services)
+		teams = append(teams, r.Teams...)
+		services = append(services, r.Services...)
 	}
-	out := conf.Delta{From: from, Revision: d.config.Revision()}
-	out.Teams, out.DroppedTeams = split(teams, d.config.Team)
-	out.Services, out.DroppedServices = split(services, d.config.Service)
-	return out
-}
-
-func note(set map[string]bool, names []string) {
-	for _, n := range names {
-		set[n] = true
-	}
-}
-
-// split returns the present values of the names, and the names that have none.
-func split[T any](names map[string]bool, get func(string) (T, bool)) (held []T, dropped []string) {
-	for _, n := range slices.Sorted(maps.Keys(names)) {
-		if v, ok := get(n); ok {
-			held = append(held, v)
-			continue
-		}
-		dropped = append(dropped, n)
-	}
-	return held, dropped
+	return d.config.Since(from, teams, services)
 }
