--- a/internal/state/job_test.go
+++ b/internal/state/job_test.go
@@ -72,6 +72,7 @@
 	r.must(Command{End: &EndJob{ID: "j", Epoch: old, State: model.JobQueued}})
 	fresh := r.place("j", 2).Job.Epoch
 	require.Greater(t, fresh, old)
+	require.Equal(t, r.index, fresh, "log indexes never repeat, also when a job's id does")
 	require.ErrorIs(t, r.apply(Command{Start: &StartJob{ID: "j", Epoch: old}}).Err, ErrFenced)
 	require.ErrorIs(t, r.apply(Command{Stop: &StopJob{ID: "j", Epoch: old}}).Err, ErrFenced)
 	require.ErrorIs(t, r.apply(Command{End: &EndJob{ID: "j", Epoch: old, State: model.JobFailed}}).Err, ErrFenced)
@@ -167,6 +168,32 @@
 	require.ErrorIs(t, out.Err, ErrSuperseded, "a placement takes capacity away")
 }
 
+func TestWorkersAreNotOverbooked(t *testing.T) {
+	r := ready(t)
+	on := func(id string, workers ...string) error {
+		var m []model.Member
+		for i, w := range workers {
+			m = append(m, model.Member{Index: i, Worker: w})
+		}
+		return r.apply(Command{Place: &PlaceJob{ID: id, Members: m}}).Err
+	}
+	big := func(id string, members, accels int, kind string) {
+		op := submit(id, "linen", members, true)
+		op.Job.Shape.Accels, op.Job.Shape.Kind = accels, kind
+		r.carry(op)
+	}
+	big("a", 2, 5, "a")
+	require.ErrorContains(t, on("a", "w00", "w00"), `members[1].worker: "w00" has no room`)
+	require.NoError(t, on("a", "w00", "w01"))
+	big("b", 1, 4, "")
+	require.ErrorIs(t, on("b", "w00"), ErrRefused)
+	epoch := r.job("a").Epoch
+	r.must(Command{Stop: &StopJob{ID: "a", Epoch: epoch}})
+	require.ErrorIs(t, on("b", "w00"), ErrRefused, "what is stopping still holds its accelerators")
+	r.must(Command{End: &EndJob{ID: "a", Epoch: epoch, State: model.JobFailed, Lapsed: true}})
+	require.NoError(t, on("b", "w00"))
+}
+
 func TestAssignmentsCarryChangesOnly(t *testing.T) {
 	r := ready(t)
 	one := r.running("j1", 1, true)
@@ -203,6 +230,7 @@
 	require.Equal(t, model.WorkerCordoned, mark(MarkCordon))
 	require.Equal(t, model.WorkerQuarantine, mark(MarkQuarantine))
 	require.Equal(t, model.WorkerLost, mark(MarkLost))
+	require.Equal(t, model.WorkerLost, mark(MarkCordon))
 	require.Equal(t, model.WorkerQuarantine, mark(MarkReturned))
 	require.Equal(t, model.WorkerCordoned, mark(MarkReleased))
 	require.Equal(t, model.WorkerReady, mark(MarkUncordon))
