--- a/internal/contrl/nodes_test.go
+++ b/internal/contrl/nodes_test.go
@@ -81,7 +81,9 @@
 
 // TestAllow checks that an agent can't act as an entry or operator.
 func TestAllow(t *testing.T) {
-	f := allow(func(context.Context, wire.Peer, *wire.ApiRequest) (*wire.ApiReply, error) { return &wire.ApiReply{}, nil }, "entry")
+	f := allow(func(context.Context, wire.Peer, *wire.ApiRequest) (*wire.ApiReply, error) {
+		return &wire.ApiReply{}, nil
+	}, "entry")
 	for role, ok := range map[string]bool{"entry": true, "control": true, "agent": false, "": false} {
 		_, err := f(context.Background(), wire.Peer{Role: role}, nil)
 		require.Equal(t, ok, err == nil, role)
