poll: nodes go back to their own control process; agents' codes are those of the API

Seen by disabling the vouch: TestControlSilent still passed. Cause: after an election the first control process that answers is the leader, so every node stayed with it and none was served by the one that is cut off. That is uneven load as well. Nodes now return to the process that they chose at random, and the test waits until the one to be cut off serves somebody.

--- a/internal/agent/claim.go
+++ b/internal/agent/claim.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/knapweedlug/knapweedlug/internal/wire"
+	"github.com/knapweedlug/knapweedlug/pkg/client"
 )
 
 // answerClaimed records the answer of a non-idempotent request before it is
@@ -19,11 +20,11 @@
 	kept, err := io.ReadAll(io.LimitReader(resp.Body, maxKeptAnswer+1))
 	switch {
 	case err != nil:
-		ans := unknown(codeCut)
+		ans := unknown(client.CodeCut)
 		r.settle(ans, nil)
 		return r.stream.Send(ans)
 	case len(kept) > maxKeptAnswer:
-		r.settle(unknown(codeTooLarge), nil)
+		r.settle(unknown(client.CodeTooLarge), nil)
 	default:
 		r.settle(head, kept)
 	}
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -24,19 +24,6 @@
 	workReadTimeout = 5 * time.Second
 )
 
-// Codes of an answer that is not a whole one.
-const (
-	codeStale    = "stale-config"
-	codeDraining = "draining"
-	codeCredit   = "credit"
-	codeExpired  = "deadline"
-	codeCut      = "cut"
-	codeNoServer = "no-server"
-	codeDial     = "dial"
-	codeServer   = "server"
-	codeTooLarge = "answer-too-large"
-)
-
 // handleWork serves one request that an entry sent against a credit.
 func (a *Agent) handleWork(ctx context.Context, _ *wire.Call, st *wire.Stream) error {
 	_ = st.SetReadDeadline(time.Now().Add(workReadTimeout))
@@ -63,7 +50,7 @@
 }
 
 // refuse tells the entry that the request did not run and can't any more.
-func (a *Agent) refuse(st *wire.Stream, code string) error {
+func (a *Agent) refuse(st *wire.Stream, code client.Code) error {
 	ans := notRun(code)
 	a.meters.count(ans)
 	return st.Send(ans)
@@ -83,26 +70,26 @@
 
 // take is the last check before work starts. It uses up the credit, so that a
 // late copy of the same request can't start.
-func (a *Agent) take(entry string, work *wire.Work) (code string) {
+func (a *Agent) take(entry string, work *wire.Work) (code client.Code) {
 	now := a.env.Clock.Now()
 	switch {
 	case !a.conf.Fresh(now):
-		return codeStale
+		return client.CodeStale
 	case work.Remainms == 0:
-		return codeExpired
+		return client.CodeDeadline
 	}
 	switch a.server.state(now) {
 	case serverReady:
 	case serverDraining:
-		return codeDraining
+		return client.CodeDraining
 	default:
-		return codeNoServer
+		return client.CodeUnavailable
 	}
 	if a.server.current().Service != work.Service {
-		return codeNoServer
+		return client.CodeUnavailable
 	}
 	if !a.grants.take(entry, work.Credit, classOf(work)) {
-		return codeCredit
+		return client.CodeUnavailable
 	}
 	a.server.began()
 	return ""
@@ -115,12 +102,12 @@
 	return admit.Long
 }
 
-func notRun(code string) *wire.Answer {
-	return &wire.Answer{Outcome: string(client.OutcomeNotRun), Code: code}
+func notRun(code client.Code) *wire.Answer {
+	return &wire.Answer{Outcome: string(client.OutcomeNotRun), Code: string(code)}
 }
 
-func unknown(code string) *wire.Answer {
-	return &wire.Answer{Outcome: string(client.OutcomeUnknown), Code: code}
+func unknown(code client.Code) *wire.Answer {
+	return &wire.Answer{Outcome: string(client.OutcomeUnknown), Code: string(code)}
 }
 
 // readChunks reads a whole body, so that one cut short never starts.
@@ -222,9 +209,9 @@
 func (r *run) fail(err error, sent bool) error {
 	r.agent.env.Log.Warn("backend server failed a request", zap.String("request", r.work.Id),
 		zap.String("team", r.work.Team), zap.Bool("sent", sent), zap.Error(err))
-	ans := notRun(codeDial)
+	ans := notRun(client.CodeUnavailable)
 	if sent {
-		ans = unknown(codeServer)
+		ans = unknown(client.CodeLost)
 		r.settle(ans, nil)
 	}
 	r.agent.meters.count(ans)
--- a/internal/e2e/silent_test.go
+++ b/internal/e2e/silent_test.go
@@ -26,6 +26,7 @@
 	c := ready(t, sz)
 	cut, err := client.NewOperator([]string{"http://" + c.apiAddr[2]}, operatorName, operatorKey, &http.Client{})
 	require.NoError(t, err)
+	pollUntil(t, 20*time.Second, "some node is served by the control process that will be cut off", func() bool { return c.serves("ctl3") > 0 })
 	c.setRelays(fakes.ModeSilent)
 	for n := range 4 {
 		plan, err := c.change(fmt.Sprint("silent", n), 15*time.Second)
@@ -116,3 +117,25 @@
 
 // probeSlack is what a probe request itself may take.
 const probeSlack = 500 * time.Millisecond
+
+// serves returns how many entries and agents a control process answers itself.
+func (c *cluster) serves(name string) int {
+	var d struct {
+		Roles struct {
+			Control struct {
+				Nodes []struct {
+					Via   string    `json:"via"`
+					Heard time.Time `json:"heard"`
+				} `json:"nodes"`
+			} `json:"control"`
+		} `json:"roles"`
+	}
+	c.dump("control", name, &d)
+	n := 0
+	for _, x := range d.Roles.Control.Nodes {
+		if x.Via == "" && time.Since(x.Heard) < 2*time.Second {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/poll/poll.go
+++ b/internal/poll/poll.go
@@ -25,6 +25,8 @@
 	answerTime = 700 * time.Millisecond
 	// callTime bounds one try of a call to one control process.
 	callTime = 2 * time.Second
+	// homeInterval separates two tries to go back to the chosen one.
+	homeInterval = 3 * time.Second
 	// retryPause separates two tries when no control process answers.
 	retryPause = 100 * time.Millisecond
 )
@@ -51,18 +53,21 @@
 	clock kern.Clock
 	log   *zap.Logger
 	cur   atomic.Int64
+	home  int64     // chosen at random, so that the nodes spread over the control processes
+	back  time.Time // when home is tried again
 }
 
 // New returns a poller over links, of which there is at least one.
 func New(links []Link, node Node, clock kern.Clock, log *zap.Logger) *Poller {
-	p := &Poller{links: links, node: node, clock: clock, log: log}
-	p.cur.Store(rand.Int64N(int64(len(links))))
+	p := &Poller{links: links, node: node, clock: clock, log: log, home: rand.Int64N(int64(len(links)))}
+	p.cur.Store(p.home)
 	return p
 }
 
 // Run polls until ctx is done.
 func (p *Poller) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		p.turnHome()
 		cur := p.cur.Load()
 		if err := p.once(ctx, p.link(cur)); err != nil && ctx.Err() == nil {
 			p.log.Debug("control process did not answer", zap.String("addr", p.link(cur).Addr()), zap.Error(err))
@@ -73,6 +78,21 @@
 	return nil
 }
 
+// turnHome goes back, now and then, from the control process that stood in to
+// the one that was chosen. Without it every node would stay with the first one
+// that answers after an election, which is the leader.
+func (p *Poller) turnHome() {
+	now := p.clock.Now()
+	cur := p.cur.Load()
+	if (cur-p.home)%int64(len(p.links)) == 0 || now.Before(p.back) {
+		return
+	}
+	if !p.back.IsZero() {
+		p.cur.CompareAndSwap(cur, p.home)
+	}
+	p.back = now.Add(homeInterval)
+}
+
 func (p *Poller) link(n int64) Link { return p.links[n%int64(len(p.links))] }
 
 // once sends one heartbeat. The answer's validity counts from the moment of
--- /dev/null
+++ b/internal/poll/poll_test.go
@@ -0,0 +1,96 @@
+package poll
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/knapweedlug/knapweedlug/internal/conf"
+	"github.com/knapweedlug/knapweedlug/internal/wire"
+)
+
+type testClock struct{ now time.Time }
+
+func (c *testClock) Now() time.Time { return c.now }
+
+// testLink answers by a function.
+type testLink struct {
+	addr   string
+	calls  int
+	answer func(resp proto.Message) error
+}
+
+func (l *testLink) Addr() string { return l.addr }
+
+func (l *testLink) Call(_ context.Context, _ string, _, resp proto.Message) error {
+	l.calls++
+	return l.answer(resp)
+}
+
+// testNode notes the deadline that it was given.
+type testNode struct{ deadline time.Time }
+
+func (n *testNode) Request() *wire.SyncRequest { return &wire.SyncRequest{} }
+
+func (n *testNode) Reply(_ *wire.SyncReply, deadline time.Time) error {
+	n.deadline = deadline
+	return nil
+}
+
+// TestValidityCountsFromTheSending delays an answer: that must not lengthen
+// the time for which it holds.
+func TestValidityCountsFromTheSending(t *testing.T) {
+	clock := &testClock{now: time.Unix(1_000_000, 0)}
+	sent := clock.now
+	l := &testLink{answer: func(resp proto.Message) error {
+		clock.now = clock.now.Add(3 * time.Second)
+		resp.(*wire.SyncReply).Vouchms = 4000
+		return nil
+	}}
+	n := &testNode{}
+	p := New([]Link{l}, n, clock, zap.NewNop())
+	require.NoError(t, p.once(context.Background(), l))
+	require.Equal(t, sent.Add(4*time.Second), n.deadline)
+	require.Equal(t, sent.Add(LeaseTerm), LeaseDeadline(sent.Add(conf.Bound)))
+}
+
+// TestCallTurnsToTheNext calls past a control process that is down and one that
+// knows no leader, and takes a refusal for an answer.
+func TestCallTurnsToTheNext(t *testing.T) {
+	down := &testLink{addr: "down", answer: func(proto.Message) error { return errors.New("connection refused") }}
+	follower := &testLink{addr: "follower", answer: func(proto.Message) error {
+		return &wire.RemoteError{Code: wire.CodeNotLeader}
+	}}
+	leader := &testLink{addr: "leader", answer: func(proto.Message) error {
+		return &wire.RemoteError{Code: wire.CodeConflict, Text: "another body"}
+	}}
+	p := New([]Link{down, follower, leader}, &testNode{}, &testClock{}, zap.NewNop())
+	p.cur.Store(0)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	err := p.Call(ctx, wire.MethodClaim, &wire.ClaimRequest{}, &wire.ClaimReply{})
+	var re *wire.RemoteError
+	require.ErrorAs(t, err, &re)
+	require.Equal(t, wire.CodeConflict, re.Code)
+	require.Equal(t, []int{1, 1, 1}, []int{down.calls, follower.calls, leader.calls})
+}
+
+// TestTakeConfig checks that an older configuration is refused and that a
+// higher revision that is only heard of ends the validity.
+func TestTakeConfig(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	h := conf.NewHolder("c")
+	full := []byte(`{"cluster":"c","revision":5,"full":true}`)
+	require.NoError(t, TakeConfig(h, &wire.SyncReply{Revision: 5, Config: full}, now.Add(time.Second), zap.NewNop()))
+	require.True(t, h.Fresh(now))
+	old := []byte(`{"cluster":"c","revision":4,"full":true}`)
+	require.ErrorIs(t, TakeConfig(h, &wire.SyncReply{Revision: 5, Config: old}, now.Add(time.Hour), zap.NewNop()), conf.ErrStale)
+	require.NoError(t, TakeConfig(h, &wire.SyncReply{Revision: 6}, now.Add(time.Hour), zap.NewNop()))
+	require.False(t, h.Fresh(now.Add(2*time.Second)), "revision 6 exists and is not held")
+	require.EqualValues(t, 5, h.Revision())
+}
