--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -97,7 +97,7 @@
 		a.controls = append(a.controls, l)
 		controls = append(controls, l)
 	}
-	a.poller = poll.New(controls, a, env.Clock, env.Log)
+	a.poller = poll.New(env.Node.Name, controls, a, env.Clock, env.Log)
 	a.tasks = newTasks(env, cfg.Worker, newPlatform(cfg), a.poller)
 	return a, nil
 }
--- a/internal/e2e/silent_test.go
+++ b/internal/e2e/silent_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/knapweedlug/knapweedlug/internal/fakes"
+	"github.com/knapweedlug/knapweedlug/internal/poll"
 	"github.com/knapweedlug/knapweedlug/pkg/client"
 )
 
@@ -26,7 +27,15 @@
 	c := ready(t, sz)
 	cut, err := client.NewOperator([]string{"http://" + c.apiAddr[2]}, operatorName, operatorKey, &http.Client{})
 	require.NoError(t, err)
-	pollUntil(t, 20*time.Second, "some node is served by the control process that will be cut off", func() bool { return c.serves("ctl3") > 0 })
+	home := 0
+	for i := range c.agents {
+		if poll.Home(fmt.Sprintf("agt%d", i+1), 3) == 2 {
+			home++
+		}
+	}
+	require.Positive(t, home, "no agent belongs to the control process that will be cut off")
+	pollUntil(t, 20*time.Second, "agents are home", func() bool { return c.serves("ctl3") >= home && c.serves("ctl1")+c.serves("ctl2")+c.serves("ctl3") == 6 })
+	time.Sleep(4 * time.Second) // every node has gone home
 	c.setRelays(fakes.ModeSilent)
 	for n := range 4 {
 		plan, err := c.change(fmt.Sprint("silent", n), 15*time.Second)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -96,7 +96,7 @@
 		e.links = append(e.links, l)
 		controls = append(controls, l)
 	}
-	e.poller = poll.New(controls, e, env.Clock, env.Log)
+	e.poller = poll.New(env.Node.Name, controls, e, env.Clock, env.Log)
 	e.http = &http.Server{
 		Handler:           e.handler(),
 		ReadHeaderTimeout: headerTimeout,
--- a/internal/poll/poll.go
+++ b/internal/poll/poll.go
@@ -5,10 +5,10 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
@@ -25,7 +25,7 @@
 	answerTime = 700 * time.Millisecond
 	// callTime bounds one try of a call to one control process.
 	callTime = 2 * time.Second
-	// homeInterval separates two tries to go back to the chosen one.
+	// homeInterval separates two tries to go back home.
 	homeInterval = 3 * time.Second
 	// retryPause separates two tries when no control process answers.
 	retryPause = 100 * time.Millisecond
@@ -53,17 +53,24 @@
 	clock kern.Clock
 	log   *zap.Logger
 	cur   atomic.Int64
-	home  int64     // chosen at random, so that the nodes spread over the control processes
+	home  int64     // the one that the node's name gives
 	back  time.Time // when home is tried again
 }
 
-// New returns a poller over links, of which there is at least one.
-func New(links []Link, node Node, clock kern.Clock, log *zap.Logger) *Poller {
-	p := &Poller{links: links, node: node, clock: clock, log: log, home: rand.Int64N(int64(len(links)))}
+// New returns a poller over links, of which there is at least one, for the
+// node of that name.
+func New(name string, links []Link, node Node, clock kern.Clock, log *zap.Logger) *Poller {
+	p := &Poller{links: links, node: node, clock: clock, log: log, home: int64(Home(name, len(links)))}
 	p.cur.Store(p.home)
 	return p
 }
 
+// Home returns which of n control processes serves the node of that name, so
+// that the nodes spread evenly.
+func Home(name string, n int) int {
+	return int(xxhash.Sum64String(name) % uint64(n))
+}
+
 // Run polls until ctx is done.
 func (p *Poller) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -79,7 +86,7 @@
 }
 
 // turnHome goes back, now and then, from the control process that stood in to
-// the one that was chosen. Without it every node would stay with the first one
+// the one at home. Without it every node would stay with the first one
 // that answers after an election, which is the leader.
 func (p *Poller) turnHome() {
 	now := p.clock.Now()
--- a/internal/poll/poll_test.go
+++ b/internal/poll/poll_test.go
@@ -53,7 +53,7 @@
 		return nil
 	}}
 	n := &testNode{}
-	p := New([]Link{l}, n, clock, zap.NewNop())
+	p := New("a1", []Link{l}, n, clock, zap.NewNop())
 	require.NoError(t, p.once(context.Background(), l))
 	require.Equal(t, sent.Add(4*time.Second), n.deadline)
 	require.Equal(t, sent.Add(LeaseTerm), LeaseDeadline(sent.Add(conf.Bound)))
@@ -69,7 +69,7 @@
 	leader := &testLink{addr: "leader", answer: func(proto.Message) error {
 		return &wire.RemoteError{Code: wire.CodeConflict, Text: "another body"}
 	}}
-	p := New([]Link{down, follower, leader}, &testNode{}, &testClock{}, zap.NewNop())
+	p := New("a1", []Link{down, follower, leader}, &testNode{}, &testClock{}, zap.NewNop())
 	p.cur.Store(0)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
