knapctl: one action for every listing

Cause: thirteen commands fetched a value and printed it in the same seven lines. Change: show does it once; a test runs every listing as a table and as JSON.

--- a/cmd/knapctl/agents.go
+++ b/cmd/knapctl/agents.go
@@ -23,13 +23,9 @@
 		Long:    agentsHelp,
 		Example: agentsExample,
 		Args:    exactly(),
-		RunE: a.with(func(cmd *cobra.Command, o *client.Operator, _ []string) error {
-			list, err := o.Agents(cmd.Context())
-			if err != nil {
-				return err
-			}
-			return a.print(cmd, list, func() *table { return agentTable(list.Agents...) })
-		}),
+		RunE: show(a, func(ctx context.Context, o *client.Operator, _ []string) (client.AgentList, error) {
+			return o.Agents(ctx)
+		}, func(list client.AgentList) *table { return agentTable(list.Agents...) }),
 	}
 	cmd.AddCommand(
 		newAgentVerb(a, "drain", "Give an agent no more work", (*client.Operator).DrainAgent),
--- a/cmd/knapctl/config.go
+++ b/cmd/knapctl/config.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"strconv"
 
@@ -26,13 +27,9 @@
 		Long:    configHelp,
 		Example: configExample,
 		Args:    exactly(),
-		RunE: a.with(func(cmd *cobra.Command, o *client.Operator, _ []string) error {
-			cfg, err := o.Config(cmd.Context())
-			if err != nil {
-				return err
-			}
-			return a.print(cmd, cfg, func() *table { return configTable(cfg) })
-		}),
+		RunE: show(a, func(ctx context.Context, o *client.Operator, _ []string) (client.Config, error) {
+			return o.Config(ctx)
+		}, configTable),
 	}
 	cmd.AddCommand(newConfigHistory(a), newConfigDiff(a), newConfigStatus(a))
 	return cmd
@@ -55,19 +52,9 @@
 		Short:   "List accepted changes, newest first",
 		Example: "  knapctl config history --output json",
 		Args:    exactly(),
-		RunE: a.with(func(cmd *cobra.Command, o *client.Operator, _ []string) error {
-			h, err := o.History(cmd.Context())
-			if err != nil {
-				return err
-			}
-			return a.print(cmd, h, func() *table {
-				t := &table{head: []string{"REVISION", "AT", "OPERATOR", "INTENT", "CHANGES"}}
-				for _, r := range h.Revisions {
-					t.add(r.Revision, r.At, r.Operator, r.Intent, len(r.Changes))
-				}
-				return t
-			})
-		}),
+		RunE: show(a, func(ctx context.Context, o *client.Operator, _ []string) (client.History, error) {
+			return o.History(ctx)
+		}, historyTable),
 	}
 }
 
@@ -117,18 +104,24 @@
 		Short:   "List which revision each process has in force",
 		Example: "  knapctl config status",
 		Args:    exactly(),
-		RunE: a.with(func(cmd *cobra.Command, o *client.Operator, _ []string) error {
-			s, err := o.Status(cmd.Context())
-			if err != nil {
-				return err
-			}
-			return a.print(cmd, s, func() *table {
-				t := &table{head: []string{"PROCESS", "ROLE", "DOMAIN", "REVISION", "BEHIND", "FRESH", "SEEN"}}
-				for _, p := range s.Processes {
-					t.add(p.Name, p.Role, p.Domain, p.Revision, s.Revision-min(p.Revision, s.Revision), p.Fresh, p.Seen)
-				}
-				return t
-			})
-		}),
+		RunE: show(a, func(ctx context.Context, o *client.Operator, _ []string) (client.Status, error) {
+			return o.Status(ctx)
+		}, statusTable),
+	}
+}
+
+func historyTable(h client.History) *table {
+	t := &table{head: []string{"REVISION", "AT", "OPERATOR", "INTENT", "CHANGES"}}
+	for _, r := range h.Revisions {
+		t.add(r.Revision, r.At, r.Operator, r.Intent, len(r.Changes))
 	}
+	return t
+}
+
+func statusTable(s client.Status) *table {
+	t := &table{head: []string{"PROCESS", "ROLE", "DOMAIN", "REVISION", "BEHIND", "FRESH", "SEEN"}}
+	for _, p := range s.Processes {
+		t.add(p.Name, p.Role, p.Domain, p.Revision, s.Revision-min(p.Revision, s.Revision), p.Fresh, p.Seen)
+	}
+	return t
 }
--- a/cmd/knapctl/explain.go
+++ b/cmd/knapctl/explain.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"context"
+
 	"github.com/spf13/cobra"
 
 	"github.com/knapweedlug/knapweedlug/pkg/client"
@@ -16,13 +18,9 @@
 		Long:    explainHelp,
 		Example: "  knapctl explain j-12",
 		Args:    exactly("JOB"),
-		RunE: a.with(func(cmd *cobra.Command, o *client.Operator, args []string) error {
-			e, err := o.Explain(cmd.Context(), args[0])
-			if err != nil {
-				return err
-			}
-			return a.print(cmd, e, func() *table { return explainTable(e) })
-		}),
+		RunE: show(a, func(ctx context.Context, o *client.Operator, args []string) (client.Explanation, error) {
+			return o.Explain(ctx, args[0])
+		}, explainTable),
 	}
 }
 
--- a/cmd/knapctl/job.go
+++ b/cmd/knapctl/job.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"context"
+
 	"github.com/spf13/cobra"
 
 	"github.com/knapweedlug/knapweedlug/pkg/client"
+	"github.com/knapweedlug/knapweedlug/pkg/model"
 )
 
 const jobHelp = `Show one job.`
@@ -16,12 +19,8 @@
 		Long:    jobHelp,
 		Example: "  knapctl job j-12 --output json",
 		Args:    exactly("JOB"),
-		RunE: a.with(func(cmd *cobra.Command, o *client.Operator, args []string) error {
-			job, err := o.Job(cmd.Context(), args[0])
-			if err != nil {
-				return err
-			}
-			return a.print(cmd, job, func() *table { return jobTable(job) })
-		}),
+		RunE: show(a, func(ctx context.Context, o *client.Operator, args []string) (model.Job, error) {
+			return o.Job(ctx, args[0])
+		}, func(job model.Job) *table { return jobTable(job) }),
 	}
 }
--- a/cmd/knapctl/jobs.go
+++ b/cmd/knapctl/jobs.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"context"
+
 	"github.com/spf13/cobra"
 
 	"github.com/knapweedlug/knapweedlug/pkg/client"
@@ -18,13 +20,9 @@
 		Long:    jobsHelp,
 		Example: "  knapctl jobs --team linen --output json",
 		Args:    exactly(),
-		RunE: a.with(func(cmd *cobra.Command, o *client.Operator, _ []string) error {
-			list, err := o.Jobs(cmd.Context(), team)
-			if err != nil {
-				return err
-			}
-			return a.print(cmd, list, func() *table { return jobTable(list.Jobs...) })
-		}),
+		RunE: show(a, func(ctx context.Context, o *client.Operator, _ []string) (client.JobList, error) {
+			return o.Jobs(ctx, team)
+		}, func(list client.JobList) *table { return jobTable(list.Jobs...) }),
 	}
 	cmd.Flags().StringVar(&team, "team", "", "only jobs of this team")
 	return cmd
--- a/cmd/knapctl/main_test.go
+++ b/cmd/knapctl/main_test.go
@@ -96,6 +96,43 @@
 	}
 }
 
+// Every listing shows what the server answered, as a table and as JSON.
+func TestListings(t *testing.T) {
+	job := model.Job{ID: "x1", Team: "linen", Members: []model.Member{{Worker: "w00"}}}
+	tests := map[string]any{
+		"teams":                client.TeamList{Teams: []model.Team{{Name: "x1"}}},
+		"services":             client.ServiceList{Services: []model.Service{{Name: "x1"}}},
+		"jobs":                 client.JobList{Jobs: []model.Job{job}},
+		"job x1":               job,
+		"explain x1":           client.Explanation{Job: job, Reason: "waits"},
+		"workers":              client.WorkerList{Workers: []model.Worker{{Name: "x1"}}},
+		"agents":               client.AgentList{Agents: []client.Agent{{Name: "x1"}}},
+		"agents drain x1":      client.Agent{Name: "x1"},
+		"config":               client.Config{Teams: []model.Team{{Name: "x1"}}},
+		"config history":       client.History{Revisions: []client.Revision{{Intent: "x1"}}},
+		"config diff 1 2":      client.Diff{Changes: []model.Change{{What: "x1"}}},
+		"config status":        client.Status{Processes: []client.Process{{Name: "x1", Revision: 9}}},
+		"members list":         client.MemberList{Members: []client.Member{{Name: "x1"}}},
+		"members promote x1":   client.MemberList{Members: []client.Member{{Name: "x1"}}},
+		"report guarantees":    client.GuaranteeReport{Lines: []client.GuaranteeLine{{Team: "x1"}}},
+		"report fragmentation": client.FragmentationReport{Lines: []client.FragmentationLine{{Region: "x1"}}},
+		"plan p":               model.Plan{ID: "p", State: model.PlanRefused, Refusals: []model.Refusal{{Field: "x1"}}},
+	}
+	for line, answer := range tests {
+		t.Run(line, func(t *testing.T) {
+			args := append(strings.Fields(line), serve(t, http.StatusOK, answer)...)
+			got := run(t, "", args...)
+			require.Equal(t, exitOK, got.code, got.stderr)
+			require.Contains(t, got.stdout, "x1")
+			got = run(t, "", append(args, "--output", "json")...)
+			require.Equal(t, exitOK, got.code, got.stderr)
+			want, err := json.Marshal(answer)
+			require.NoError(t, err)
+			require.JSONEq(t, string(want), got.stdout)
+		})
+	}
+}
+
 // control is a server of intents that loses its first answer.
 type control struct {
 	intents  []model.Intent
--- a/cmd/knapctl/members.go
+++ b/cmd/knapctl/members.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 
 	"github.com/google/uuid"
@@ -37,13 +38,9 @@
 		Short:   "List the replicas of the log",
 		Example: "  knapctl members list --output json",
 		Args:    exactly(),
-		RunE: a.with(func(cmd *cobra.Command, o *client.Operator, _ []string) error {
-			list, err := o.Members(cmd.Context())
-			if err != nil {
-				return err
-			}
-			return a.print(cmd, list, func() *table { return memberTable(list) })
-		}),
+		RunE: show(a, func(ctx context.Context, o *client.Operator, _ []string) (client.MemberList, error) {
+			return o.Members(ctx)
+		}, memberTable),
 	}
 }
 
--- a/cmd/knapctl/print.go
+++ b/cmd/knapctl/print.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -9,6 +10,8 @@
 	"time"
 
 	"github.com/spf13/cobra"
+
+	"github.com/knapweedlug/knapweedlug/pkg/client"
 )
 
 // Forms of output.
@@ -73,3 +76,18 @@
 	}
 	return makes().write(cmd.OutOrStdout())
 }
+
+// show returns what a command does that fetches one value and prints it.
+func show[T any](
+	a *app,
+	fetch func(ctx context.Context, o *client.Operator, args []string) (T, error),
+	makes func(T) *table,
+) func(*cobra.Command, []string) error {
+	return a.with(func(cmd *cobra.Command, o *client.Operator, args []string) error {
+		v, err := fetch(cmd.Context(), o, args)
+		if err != nil {
+			return err
+		}
+		return a.print(cmd, v, func() *table { return makes(v) })
+	})
+}
--- a/cmd/knapctl/report.go
+++ b/cmd/knapctl/report.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"context"
+
 	"github.com/spf13/cobra"
 
 	"github.com/knapweedlug/knapweedlug/pkg/client"
@@ -24,19 +26,9 @@
 		Short:   "Report how every guaranteed shape stands",
 		Example: "  knapctl report guarantees",
 		Args:    exactly(),
-		RunE: a.with(func(cmd *cobra.Command, o *client.Operator, _ []string) error {
-			r, err := o.Guarantees(cmd.Context())
-			if err != nil {
-				return err
-			}
-			return a.print(cmd, r, func() *table {
-				t := &table{head: []string{"TEAM", "SHAPE", "COUNT", "IN USE", "WITNESSED", "SHORT", "REASON"}}
-				for _, l := range r.Lines {
-					t.add(l.Team, l.Shape, l.Count, l.InUse, l.Witnessed, l.Short, l.Reason)
-				}
-				return t
-			})
-		}),
+		RunE: show(a, func(ctx context.Context, o *client.Operator, _ []string) (client.GuaranteeReport, error) {
+			return o.Guarantees(ctx)
+		}, guaranteeTable),
 	}
 }
 
@@ -46,18 +38,24 @@
 		Short:   "Report how scattered the free accelerators are",
 		Example: "  knapctl report fragmentation",
 		Args:    exactly(),
-		RunE: a.with(func(cmd *cobra.Command, o *client.Operator, _ []string) error {
-			r, err := o.Fragmentation(cmd.Context())
-			if err != nil {
-				return err
-			}
-			return a.print(cmd, r, func() *table {
-				t := &table{head: []string{"REGION", "KIND", "ACCELS", "FREE", "WHOLE WORKERS", "ON A WORKER", "IN A RACK", "IN A DOMAIN"}}
-				for _, l := range r.Lines {
-					t.add(l.Region, l.Kind, l.Accels, l.Free, l.WholeWorkers, l.LargestWorker, l.LargestRack, l.LargestDomain)
-				}
-				return t
-			})
-		}),
+		RunE: show(a, func(ctx context.Context, o *client.Operator, _ []string) (client.FragmentationReport, error) {
+			return o.Fragmentation(ctx)
+		}, fragmentationTable),
+	}
+}
+
+func guaranteeTable(r client.GuaranteeReport) *table {
+	t := &table{head: []string{"TEAM", "SHAPE", "COUNT", "IN USE", "WITNESSED", "SHORT", "REASON"}}
+	for _, l := range r.Lines {
+		t.add(l.Team, l.Shape, l.Count, l.InUse, l.Witnessed, l.Short, l.Reason)
+	}
+	return t
+}
+
+func fragmentationTable(r client.FragmentationReport) *table {
+	t := &table{head: []string{"REGION", "KIND", "ACCELS", "FREE", "WHOLE WORKERS", "ON A WORKER", "IN A RACK", "IN A DOMAIN"}}
+	for _, l := range r.Lines {
+		t.add(l.Region, l.Kind, l.Accels, l.Free, l.WholeWorkers, l.LargestWorker, l.LargestRack, l.LargestDomain)
 	}
+	return t
 }
--- a/cmd/knapctl/services.go
+++ b/cmd/knapctl/services.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"strings"
 
 	"github.com/spf13/cobra"
@@ -18,13 +19,9 @@
 		Long:    servicesHelp,
 		Example: "  knapctl services",
 		Args:    exactly(),
-		RunE: a.with(func(cmd *cobra.Command, o *client.Operator, _ []string) error {
-			list, err := o.Services(cmd.Context())
-			if err != nil {
-				return err
-			}
-			return a.print(cmd, list, func() *table { return serviceTable(list) })
-		}),
+		RunE: show(a, func(ctx context.Context, o *client.Operator, _ []string) (client.ServiceList, error) {
+			return o.Services(ctx)
+		}, serviceTable),
 	}
 }
 
--- a/cmd/knapctl/teams.go
+++ b/cmd/knapctl/teams.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"strings"
 
 	"github.com/spf13/cobra"
@@ -19,13 +20,9 @@
 		Long:    teamsHelp,
 		Example: "  knapctl teams",
 		Args:    exactly(),
-		RunE: a.with(func(cmd *cobra.Command, o *client.Operator, _ []string) error {
-			list, err := o.Teams(cmd.Context())
-			if err != nil {
-				return err
-			}
-			return a.print(cmd, list, func() *table { return teamTable(list.Teams) })
-		}),
+		RunE: show(a, func(ctx context.Context, o *client.Operator, _ []string) (client.TeamList, error) {
+			return o.Teams(ctx)
+		}, func(list client.TeamList) *table { return teamTable(list.Teams) }),
 	}
 }
 
--- a/cmd/knapctl/workers.go
+++ b/cmd/knapctl/workers.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"context"
+
 	"github.com/spf13/cobra"
 
 	"github.com/knapweedlug/knapweedlug/pkg/client"
@@ -16,13 +18,9 @@
 		Long:    workersHelp,
 		Example: "  knapctl workers --output json",
 		Args:    exactly(),
-		RunE: a.with(func(cmd *cobra.Command, o *client.Operator, _ []string) error {
-			list, err := o.Workers(cmd.Context())
-			if err != nil {
-				return err
-			}
-			return a.print(cmd, list, func() *table { return workerTable(list) })
-		}),
+		RunE: show(a, func(ctx context.Context, o *client.Operator, _ []string) (client.WorkerList, error) {
+			return o.Workers(ctx)
+		}, workerTable),
 	}
 }
 
