--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -136,6 +136,9 @@
 	return it
 }
 
+// retryMargin is what the measured rate may be off when a retry time is told.
+const retryMargin = 1.1
+
 // fits refuses a request that the queue can't finish before its deadline.
 func (q *Queue) fits(s *service, l *ledger, it *item, now time.Time) error {
 	slack := it.start.Sub(now)
@@ -149,7 +152,8 @@
 	if wait <= slack && !full {
 		return nil
 	}
-	retryAt := now.Add(max(0, wait-slack))
+	excess := time.Duration(retryMargin * float64(max(0, wait-slack)))
+	retryAt := now.Add(excess + seconds(it.mean))
 	if l.promised.After(retryAt) {
 		retryAt = l.promised
 	}
@@ -223,51 +227,6 @@
 	return true
 }
 
-// Expire returns the requests that can't meet their deadline any more. They
-// have not run.
-func (q *Queue) Expire(now time.Time) []Request {
-	for _, s := range q.services {
-		for _, l := range s.active {
-			q.expireLedger(s, l, now)
-		}
-	}
-	out := q.expired
-	q.expired = nil
-	return out
-}
-
-func (q *Queue) expireLedger(s *service, l *ledger, now time.Time) {
-	for level := range l.lines {
-		for class := range l.lines[level] {
-			line := &l.lines[level][class]
-			for it := line.head(); it != nil && it.start.Before(now); it = line.head() {
-				q.expire(s, l, it, now)
-			}
-		}
-	}
-}
-
-func (q *Queue) expire(s *service, l *ledger, it *item, now time.Time) {
-	s.remove(l, it, now)
-	delete(q.queued, it.r.ID)
-	q.expired = append(q.expired, it.r)
-}
-
-func (q *Queue) expireAll(s *service) {
-	for _, l := range s.active {
-		for level := range l.lines {
-			for class := range l.lines[level] {
-				for _, it := range l.lines[level][class].items {
-					if !it.gone {
-						delete(q.queued, it.r.ID)
-						q.expired = append(q.expired, it.r)
-					}
-				}
-			}
-		}
-	}
-}
-
 // Done ends a popped request. Took is its run time at the mean speed of the
 // fleet; it is learned from whole answers only.
 func (q *Queue) Done(r Request, took time.Duration, outcome Outcome, _ time.Time) {
--- a/internal/replog/focus_test.go
+++ b/internal/replog/focus_test.go
@@ -1,6 +1,7 @@
 package replog
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -239,3 +240,32 @@
 	require.ErrorIs(t, err, ErrNotLeader)
 	require.ErrorContains(t, err, "the leader is a")
 }
+
+// TestSlowDisksDontCostLeadership holds up all disks while entries wait.
+func TestSlowDisksDontCostLeadership(t *testing.T) {
+	s, a, _, _ := newTrio(t)
+	term := a.core.state.term
+	for _, h := range s.hosts {
+		h.stall()
+	}
+	for range 100 {
+		s.write(a, "new")
+		s.run(5 * simTick)
+	}
+	require.Equal(t, Leader, a.core.role)
+	require.Equal(t, term, a.core.state.term)
+	require.True(t, a.core.hasLease(s.local(a)))
+}
+
+// TestIdleTraffic checks the bound that the letter sets for a daemon.
+func TestIdleTraffic(t *testing.T) {
+	const bytesPerSecond = 29_000
+	s, _, _, _ := newTrio(t)
+	before := maps.Clone(s.sent)
+	s.run(10 * time.Second)
+	for name, sent := range s.sent {
+		rate := (sent - before[name]) / 10
+		t.Logf("%s sends %d bytes a second while idle", name, rate)
+		require.Less(t, rate, bytesPerSecond)
+	}
+}
