Let a new member that leads end its own repair

Cause: the leader asked itself whether it had caught up as if it were a peer, so a replacement that became leader never removed the member it replaced. Run: TestNewMemberThatLeadsEndsItsOwnRepair failed before, passes now.

--- a/internal/replog/change.go
+++ b/internal/replog/change.go
@@ -65,6 +65,9 @@
 // caughtUp tells whether a member holds on disk what was committed less than
 // an election time ago.
 func (c *core) caughtUp(inc string) bool {
+	if inc == c.self {
+		return c.log.saved >= c.commit
+	}
 	p := c.peer(inc)
 	return p != nil && !p.refused && !p.full && c.reachable(p) && (p.match >= c.commit || c.now.Before(p.caughtUpDeadline))
 }
--- a/internal/replog/invar_test.go
+++ b/internal/replog/invar_test.go
@@ -120,6 +120,7 @@
 	s.loss, s.dup, s.delay = 0, 0, 0
 	for _, h := range s.hosts {
 		h.frozen = 0
+		h.resume()
 		if h.core == nil {
 			s.boot(h)
 		}
--- a/internal/replog/prop_test.go
+++ b/internal/replog/prop_test.go
@@ -17,8 +17,8 @@
 }
 
 const (
-	maxWrites = 40
-	maxReads  = 40
+	maxWrites = 80
+	maxReads  = 80
 )
 
 func (f *faults) host() *simHost { return rapid.SampledFrom(f.s.hosts).Draw(f.t, "host") }
@@ -49,18 +49,39 @@
 	}
 }
 
-func (f *faults) cutPair() {
-	f.s.cut[[2]string{f.host().name, f.host().name}] = true
+func (f *faults) readLeader() {
+	if l := f.s.leader(); l != nil && f.reads < maxReads {
+		f.reads++
+		f.s.read(l)
+	}
 }
 
-func (f *faults) isolate() {
-	h := f.host()
-	for _, o := range f.s.hosts {
-		f.s.cut[[2]string{h.name, o.name}] = true
-		f.s.cut[[2]string{o.name, h.name}] = true
+// someLeader returns the leader, or any host if there is none.
+func (f *faults) someLeader() *simHost {
+	if l := f.s.leader(); l != nil {
+		return l
 	}
+	return f.host()
 }
 
+func (f *faults) isolateLeader() { f.s.isolate(f.someLeader().name) }
+
+func (f *faults) crashLeader() { f.s.crash(f.someLeader()) }
+
+func (f *faults) stall() { f.host().stall() }
+
+func (f *faults) resume() {
+	for _, h := range f.s.hosts {
+		h.resume()
+	}
+}
+
+func (f *faults) cutPair() {
+	f.s.cut[[2]string{f.host().name, f.host().name}] = true
+}
+
+func (f *faults) isolate() { f.s.isolate(f.host().name) }
+
 func (f *faults) heal() {
 	f.s.cut = make(map[[2]string]bool)
 	f.s.loss, f.s.dup, f.s.delay = 0, 0, 0
@@ -88,7 +109,7 @@
 
 func (f *faults) freeze() {
 	h := f.host()
-	h.frozen = f.s.now + time.Duration(rapid.IntRange(1, 300).Draw(f.t, "frozen"))*simTick
+	h.frozen = f.s.now + time.Duration(rapid.IntRange(1, 200).Draw(f.t, "frozen"))*simTick
 }
 
 func (f *faults) snapshot() {
@@ -100,8 +121,11 @@
 // actions gives frequent actions more places.
 func (f *faults) actions() []func() {
 	return []func(){
-		f.pass, f.pass, f.pass, f.write, f.writeLeader, f.writeLeader, f.writeLeader, f.read, f.read, f.read,
-		f.cutPair, f.isolate, f.heal, f.heal, f.noise, f.crash, f.boot, f.boot, f.crashAll, f.freeze, f.snapshot,
+		f.pass, f.pass, f.pass, f.write, f.writeLeader, f.writeLeader, f.writeLeader, f.writeLeader,
+		f.read, f.readLeader, f.readLeader, f.readLeader, f.readLeader,
+		f.cutPair, f.isolate, f.isolateLeader, f.heal, f.heal, f.heal, f.noise,
+		f.crash, f.crashLeader, f.crashAll, f.boot, f.boot, f.boot,
+		f.freeze, f.stall, f.resume, f.resume, f.snapshot,
 	}
 }
 
@@ -110,7 +134,7 @@
 	for range n {
 		i := rapid.IntRange(0, len(actions)-1).Draw(f.t, "action")
 		actions[i]()
-		f.pass()
+		f.s.run(2 * simTick)
 	}
 }
 
@@ -120,7 +144,7 @@
 		s := newSim(rt, rapid.Uint64().Draw(rt, "seed"), n)
 		s.runUntil("a first leader", time.Minute, func() bool { return s.leader() != nil })
 		f := &faults{s: s, t: rt}
-		f.play(60)
+		f.play(200)
 		s.settleDown()
 	})
 }
@@ -143,10 +167,10 @@
 		s.runUntil("a first leader", time.Minute, func() bool { return s.leader() != nil })
 		f := &faults{s: s, t: rt}
 		actions := append(f.actions(), f.loseDisk, f.loseDisk, f.loseDisk)
-		for range 60 {
+		for range 200 {
 			i := rapid.IntRange(0, len(actions)-1).Draw(rt, "action")
 			actions[i]()
-			f.pass()
+			f.s.run(2 * simTick)
 			s.repair()
 		}
 		s.heal()
--- a/internal/replog/repair_test.go
+++ b/internal/replog/repair_test.go
@@ -300,3 +300,24 @@
 	b.core.step(s.local(b), m)
 	require.Zero(t, b.core.state.term)
 }
+
+// TestNewMemberThatLeadsEndsItsOwnRepair has the leader change between the
+// promotion of the new member and the removal of the old one.
+func TestNewMemberThatLeadsEndsItsOwnRepair(t *testing.T) {
+	s, a, _, c := newTrio(t)
+	s.wipe(c)
+	s.run(DefaultElection)
+	_, err := a.core.replace("c", "c")
+	require.NoError(t, err)
+	s.watch = func(*simHost) {
+		m, _ := a.core.members().get(c.incarnation)
+		if a.core.role == Leader && m.Role == Voter && m.Promoted <= a.core.commit {
+			a.core.becomeFollower(a.core.state.term, "")
+		}
+	}
+	s.runUntil("the promotion", time.Minute, func() bool { return c.core.members().isVoter(c.incarnation) })
+	s.watch = nil
+	require.Len(t, c.core.members(), 4)
+	s.lead("c")
+	s.runUntil("repaired", time.Minute, s.repaired)
+}
