Let a replica that no leader knows announce itself

Cause: a learner that held the entry which added it, but whose leader lost that entry in a crash, took itself for a member and never announced itself again, so the host couldn't be replaced. Change: whoever isn't a voter by a committed membership and hears no leader announces itself.

--- a/internal/replog/change.go
+++ b/internal/replog/change.go
@@ -41,8 +41,8 @@
 		return 0, err
 	}
 	a, ok := c.hello.announced[name]
-	if !ok || a.formed {
-		return 0, errors.Wrapf(ErrNoReplica, "%q has not announced itself as new", name)
+	if !ok {
+		return 0, errors.Wrapf(ErrNoReplica, "%q has not announced itself", name)
 	}
 	if _, ok := c.members().get(a.incarnation); ok {
 		return 0, errors.Wrapf(ErrMember, "%q, incarnation %s", name, a.incarnation)
--- a/internal/replog/hello.go
+++ b/internal/replog/hello.go
@@ -71,14 +71,25 @@
 		}
 		return
 	}
-	if c.hello.vouched {
-		return
+	if !c.hello.vouched {
+		for _, m := range c.members() {
+			c.sendHello(m)
+		}
 	}
-	for _, m := range c.members() {
-		c.sendHello(m)
+	if c.adrift() {
+		for _, p := range c.opt.Voters {
+			c.sendHello(Member{Name: p.Name})
+		}
 	}
 }
 
+// adrift tells whether no leader seems to know this replica: it was removed,
+// or the entry that added it was lost with its leader.
+func (c *core) adrift() bool {
+	committed := c.history.at(c.commit).members
+	return !committed.isVoter(c.self) && !c.now.Before(c.promiseDeadline)
+}
+
 func (c *core) sendHello(to Member) {
 	if to.Name == c.opt.Name && (to.Incarnation == "" || to.Incarnation == c.self) {
 		return
--- a/internal/replog/repair_test.go
+++ b/internal/replog/repair_test.go
@@ -321,3 +321,27 @@
 	s.lead("c")
 	s.runUntil("repaired", time.Minute, s.repaired)
 }
+
+// TestLearnerWhoseAdditionWasLostAnnouncesItself has the new replica receive
+// the entry that adds it, which its leader then loses in a crash.
+func TestLearnerWhoseAdditionWasLostAnnouncesItself(t *testing.T) {
+	s, a, _, c := newTrio(t)
+	s.wipe(c)
+	s.run(DefaultElection)
+	a.stall()
+	s.cutOff("a", "b")
+	_, err := a.core.replace("c", "c")
+	require.NoError(t, err)
+	s.runUntil("the addition", time.Second, func() bool { return c.core.formed() })
+	s.crash(a)
+	s.cut = make(map[[2]string]bool)
+	a.resume()
+	s.boot(a)
+	require.Less(t, a.core.log.lastIndex(), c.core.log.lastIndex())
+	s.runUntil("another leader", time.Minute, func() bool { l := s.leader(); return l != nil && l.core.ready() })
+	s.runUntil("repaired", time.Minute, func() bool {
+		s.repair()
+		return s.repaired()
+	})
+	s.settleDown()
+}
--- a/internal/replog/status.go
+++ b/internal/replog/status.go
@@ -134,7 +134,7 @@
 	var list []Announced
 	for name, a := range c.hello.announced {
 		_, member := c.members().get(a.incarnation)
-		if !a.formed && !member && c.now.Sub(a.heard) < c.opt.Election {
+		if !member && c.now.Sub(a.heard) < c.opt.Election {
 			list = append(list, Announced{Name: name, Incarnation: a.incarnation, Heard: a.heard})
 		}
 	}
