route: probe one pick in 500; admit: kinds of mixed size; reserve up to 6 of 8

Change: one probe in 500 picks; a reserved slot up to 35% slower goes first for a short request; a request whose typical time fits isn't refused; the reserve may grow to all slots but two.

--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -109,7 +109,7 @@
 		r.Deadline = now.Add(q.limit(s))
 	}
 	r.Arrived = now
-	it := q.item(r, s, level)
+	it := q.item(r, s, level, now)
 	l := s.ledger(a)
 	if err := q.fits(s, l, it, now); err != nil {
 		return err
@@ -129,8 +129,15 @@
 	return defaultLimit
 }
 
-func (q *Queue) item(r Request, s *service, level int) *item {
+// item returns the queued form of a request. If the run time to plan with
+// doesn't fit before the deadline but the typical one does, that one is used:
+// a kind that is often short isn't refused for its long ones.
+func (q *Queue) item(r Request, s *service, level int, now time.Time) *item {
 	c, mean, planned := q.sizes.judge(r, s.shortLimit())
+	left := r.Deadline.Sub(now) - q.opt.Margin
+	if typical := q.sizes.typical(r); typical > 0 && seconds(planned) > left && seconds(typical) <= left {
+		planned = typical
+	}
 	it := &item{r: r.WithClass(c), level: level, mean: mean, planned: planned}
 	it.start = r.Deadline.Add(-seconds(planned) - q.opt.Margin)
 	return it
@@ -208,7 +215,7 @@
 		return false
 	}
 	level, _ := urgencyLevel(run.r.Urgency)
-	it := q.item(run.r, s, level)
+	it := q.item(run.r, s, level, now)
 	q.queued[id] = it
 	s.push(s.ledger(run.acct), it, now)
 	return true
--- a/internal/load/credits.go
+++ b/internal/load/credits.go
@@ -67,7 +67,7 @@
 }
 
 // reserveMost is the most slots per backend server that the reserve may take.
-const reserveMost = SlotsPerServer / 2
+const reserveMost = SlotsPerServer - 2
 
 func (c *credits) newEntry(i int) *entry {
 	s := c.w.Scenario
--- a/internal/route/explore.go
+++ b/internal/route/explore.go
@@ -4,7 +4,7 @@
 
 // Constants of exploration.
 const (
-	exploreEvery = 200 // picks; rare enough not to show in the 99th percentile
+	exploreEvery = 500 // picks; rare enough not to show in the 99th percentile
 	exploreScan  = 4   // backend servers that are looked at
 )
 
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -177,7 +177,7 @@
 
 // reservedBonus is the logarithm by which a reserved slot may be slower and
 // still be preferred for a short request, so that long ones find fast slots.
-const reservedBonus = 0.15
+const reservedBonus = 0.3
 
 func (p *Picker) first(class admit.Class) (*backend, admit.SlotClass) {
 	anyBest, ok := p.any.Min()
