sched: a bad job's failures no longer add up against healthy workers

A job that failed on two other workers no longer counts; one that ends as bad is struck off. Also: tests of a new leader and of a cordon under a gang, after mutations of these mechanisms had failed nothing.

--- /dev/null
+++ b/internal/sched/leader_test.go
@@ -0,0 +1,68 @@
+package sched
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+// TestNewLeader checks that a new leader finds the work that runs within
+// guarantees again, also when they fill the whole fleet.
+func TestNewLeader(t *testing.T) {
+	w := newWorld(t, Options{}, todays()...)
+	w.setTeam(holding("linen", 10, shape(1, 8, model.NearWorker)))
+	for _, id := range []string{"a", "b", "c", "d", "e", "f", "g"} {
+		j := gang(id, "linen", shape(1, 8, model.NearWorker), w.now)
+		j.Stoppable = false
+		w.setJob(j)
+	}
+	w.decide()
+	s := w.leader()
+	h := s.Guarantees()[0]
+	require.Equal(t, 7, h.Used)
+	require.Zero(t, h.Short)
+	require.Empty(t, s.Decide(w.now), "it stops and starts nothing")
+	w.checkWitness(s)
+}
+
+// TestLeaderFindsSickWorker has a new leader find a worker to quarantine while
+// it enters the running work. No guarantee is bound before all work is entered.
+func TestLeaderFindsSickWorker(t *testing.T) {
+	ws := todays()[:4]
+	w := newWorld(t, Options{}, ws...)
+	w.setTeam(holding("garden", 1, shape(1, 8, model.NearWorker)))
+	run := func(id string, on int, accels int, failedOn ...string) {
+		j := gang(id, "linen", shape(1, accels, model.NearWorker), w.now).WithState(model.JobRunning, "")
+		j.Members = []model.Member{{Worker: ws[on].Name}}
+		j.Borrowed, j.Stoppable, j.FailedOn = true, false, failedOn
+		w.jobs[id] = j
+	}
+	sick := ws[2].Name
+	run("a", 0, 4, sick)
+	run("b", 0, 4, sick)
+	run("c", 1, 8, sick)
+	run("d", 3, 2)
+	s := w.leader()
+	ds := s.Decide(w.now)
+	require.Equal(t, map[Kind]int{Quarantine: 1}, kinds(ds))
+	w.workers[sick] = w.workers[sick].WithState(model.WorkerQuarantine)
+	w.checkWitness(s)
+}
+
+// TestCordonUnderGang cordons one worker of a guarantee that an unstoppable
+// gang runs in. The gang keeps its workers, so the guarantee moves as a whole.
+func TestCordonUnderGang(t *testing.T) {
+	w := newWorld(t, Options{}, todays()...)
+	w.setTeam(holding("garden", 1, shape(2, 8, model.NearRack)))
+	j := gang("render", "garden", shape(2, 8, model.NearRack), w.now)
+	j.Stoppable = false
+	w.setJob(j)
+	w.decide()
+	first := w.jobs["render"].Members[0].Worker
+	w.setWorker(w.workers[first].WithState(model.WorkerCordoned))
+	require.Empty(t, w.decide(), "the gang runs on")
+	require.Zero(t, w.short())
+	w.check()
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -300,6 +300,9 @@
 		return
 	}
 	s.chargeAll(m, j.FailedOn, now)
+	if j.failing {
+		s.absolve(m)
+	}
 	if m.State == model.JobDone {
 		s.learn(m, j.cells)
 		s.praise(j.cells)
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -10,6 +10,10 @@
 	"github.com/knapweedlug/knapweedlug/pkg/model"
 )
 
+// elsewhere is on how many other workers a job must have failed for its failures
+// to be its own.
+const elsewhere = 2
+
 const lostReason = "a worker of the gang is lost"
 
 // worker is a worker with its record of failures.
@@ -45,7 +49,7 @@
 	count := 0
 	for id := range w.blamedBy {
 		j, ok := s.jobs[id]
-		if !ok || s.blame(j, w.model.Name) < 2 {
+		if !ok || s.failedWorkers(j, w.model.Name) < elsewhere {
 			count++
 		}
 	}
@@ -57,15 +61,15 @@
 	s.SetWorker(w.model.WithState(model.WorkerQuarantine), now)
 }
 
-// blame counts the healthy workers, but one, that the job has failed on.
-func (s *Sched) blame(j *job, but string) int {
+// blame counts the healthy workers that the job has failed on.
+func (s *Sched) blame(j *job) int {
 	seen := make(map[string]bool, len(j.FailedOn))
 	for _, name := range j.FailedOn {
 		if !j.avoids(name) {
 			continue
 		}
 		w, ok := s.workers[name]
-		if !ok || name == but || w.model.State == model.WorkerQuarantine {
+		if !ok || w.model.State == model.WorkerQuarantine {
 			continue
 		}
 		if len(w.blamedBy) <= 1 {
@@ -81,7 +85,7 @@
 	if j.failing || len(j.FailedOn) < s.opt.JobWorkers {
 		return j.failing
 	}
-	healthy, all := s.blame(j, ""), s.failedWorkers(j)
+	healthy, all := s.blame(j), s.failedWorkers(j, "")
 	if healthy < s.opt.JobWorkers && all < 2*s.opt.JobWorkers {
 		return false
 	}
@@ -89,12 +93,13 @@
 	return true
 }
 
-// failedWorkers counts the workers outside of quarantine that the job failed on.
-func (s *Sched) failedWorkers(j *job) int {
+// failedWorkers counts the workers outside of quarantine, but one, that the job
+// has failed on.
+func (s *Sched) failedWorkers(j *job, but string) int {
 	seen := make(map[string]bool, len(j.FailedOn))
 	for _, name := range j.FailedOn {
 		w, ok := s.workers[name]
-		if ok && j.avoids(name) && w.model.State != model.WorkerQuarantine {
+		if ok && name != but && j.avoids(name) && w.model.State != model.WorkerQuarantine {
 			seen[name] = true
 		}
 	}
@@ -109,6 +114,16 @@
 	s.emit(Decision{Kind: Fail, Job: j.ID, Reason: reason})
 }
 
+// absolve strikes a job that was failed for its own fault from the records of
+// the workers that it failed on.
+func (s *Sched) absolve(m model.Job) {
+	for _, name := range m.FailedOn {
+		if w, ok := s.workers[name]; ok {
+			delete(w.blamedBy, m.ID)
+		}
+	}
+}
+
 // praise clears the failures of workers on which a job has ended well.
 func (s *Sched) praise(cells []place.Cell) {
 	for _, c := range cells {
