sched: a job ahead doesn't take the guarantee that a deadline needs

Cause: a deadline is accepted on the grounds that the guarantee is free in time, but a job that goes before it could take the guarantee for longer. Such a job now waits or borrows (TestDeadlineKeepsGuarantee, which fails without delaysDue). The test also found a livelock: an urgent job displaced the one with the deadline, which then took the guarantee again. What was promised is no longer displaced, nor is anything for a job that can't enter itself.

--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -151,8 +151,10 @@
 			continue
 		}
 		held := make(map[*unit]bool)
-		for _, j := range firstJobs(t, guaranteedMost) {
-			if s.allowed(j) {
+		js := firstJobs(t, guaranteedMost)
+		due := dueJobs(js)
+		for _, j := range js {
+			if s.allowed(j) && !s.delaysDue(t, j, due, now) {
 				s.tryUnits(t, j, held, now)
 			}
 		}
@@ -275,11 +277,15 @@
 	return true
 }
 
-// displace stops smaller work of the same team that keeps the unit from a more
-// urgent job.
+// displace stops work of the same team that keeps the unit from a more urgent
+// job. What was promised to meet a deadline stays.
 func (s *Sched) displace(u *unit, j *job, now time.Time) {
+	if !s.couldEnter(u, j) {
+		return
+	}
 	for _, other := range u.jobs {
-		if !other.Stoppable || !urgentThan(j, other) || other.phase != placed {
+		promised := !other.Deadline.IsZero()
+		if promised || !other.Stoppable || !urgentThan(j, other) || other.phase != placed {
 			return
 		}
 	}
@@ -287,3 +293,12 @@
 		s.stop(other, now, true, "a more urgent job of its team claims the guarantee: "+j.ID)
 	}
 }
+
+// couldEnter reports whether the unit would take the job with nothing else in it.
+func (s *Sched) couldEnter(u *unit, j *job) bool {
+	inside := u.jobs
+	u.jobs = nil
+	_, ok := s.cellsIn(u, j)
+	u.jobs = inside
+	return ok
+}
--- a/internal/sched/drive/trace.go
+++ b/internal/sched/drive/trace.go
@@ -22,7 +22,6 @@
 	Jobs  int
 	Level float64 // share of the fleet's power that arrives
 	Teams int
-	Large bool // with gangs of 64 in a failure domain
 	Sizes []Size
 }
 
--- /dev/null
+++ b/internal/sched/due.go
@@ -0,0 +1,46 @@
+package sched
+
+import "time"
+
+// dueJobs returns the waiting jobs that have a deadline.
+func dueJobs(js []*job) []*job {
+	var due []*job
+	for _, j := range js {
+		if !j.Deadline.IsZero() {
+			due = append(due, j)
+		}
+	}
+	return due
+}
+
+// delaysDue reports whether a job that starts in a guarantee now would keep a
+// waiting job of its team from meeting its deadline there.
+func (s *Sched) delaysDue(t *team, j *job, due []*job, now time.Time) bool {
+	end := now.Add(s.runTime(j, 1))
+	endangered := 0
+	for _, d := range due {
+		if d == j || d.phase != queued || (!j.Deadline.IsZero() && j.Deadline.Before(d.Deadline)) {
+			continue
+		}
+		latest := d.Deadline.Add(-s.runTime(d, 1))
+		if now.After(latest) || !end.After(latest) {
+			continue
+		}
+		endangered++
+		if idleUnits(t, d) <= endangered {
+			return true
+		}
+	}
+	return false
+}
+
+// idleUnits counts the units that suit the job and that nothing runs in.
+func idleUnits(t *team, j *job) int {
+	n := 0
+	for _, u := range t.units {
+		if u.bound() && u.idle() && u.suits(j.Shape) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/sched/wait_test.go
+++ b/internal/sched/wait_test.go
@@ -252,3 +252,24 @@
 	other, _ := p.s.expect(gang("x", "u", shape(1, 1, model.NearWorker), p.now))
 	require.Equal(t, time.Hour, other)
 }
+
+// TestDeadlineKeepsGuarantee checks that a job that goes before one with a
+// deadline doesn't take the guarantee for longer than the deadline allows.
+func TestDeadlineKeepsGuarantee(t *testing.T) {
+	for _, hours := range []int{1, 4} {
+		w := newWorld(t, Options{}, todays()...)
+		w.setTeam(holding("linen", 1, shape(1, 8, model.NearWorker)))
+		fillBorrowed(w, true)
+		due := gang("due", "linen", shape(1, 8, model.NearWorker), w.now)
+		due.Deadline = w.now.Add(3 * time.Hour)
+		w.setJob(due)
+		first := gang("first", "linen", shape(1, 8, model.NearWorker), w.now)
+		first.Urgency = model.Urgent
+		first.EstimateMs = (time.Duration(hours) * time.Hour).Milliseconds()
+		first.Submitted = w.now.Add(-24 * time.Hour)
+		w.setJob(first)
+		w.settle()
+		require.Equal(t, hours == 1, holds(w.jobs["first"].State) && !w.jobs["first"].Borrowed)
+		require.Equal(t, hours != 1, holds(w.jobs["due"].State) && !w.jobs["due"].Borrowed)
+	}
+}
