state: halt at a command of a newer version

A replica that runs an older program refused a command it didn't know, while the others carried it out: it would have gone its own way unnoticed. TestNewerCommandHalts was seen failing with each of its three parts off.

--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -14,8 +14,9 @@
 // Command is one entry of the log: the leader's term and time, and exactly one
 // payload.
 type Command struct {
-	Term uint64    `json:"term"` // of the leader that proposed it
-	Now  time.Time `json:"now"`  // the leader's clock
+	Version int       `json:"version"` // of the commands' form; set by Encode
+	Term    uint64    `json:"term"`    // of the leader that proposed it
+	Now     time.Time `json:"now"`     // the leader's clock
 
 	Lead    *Lead         `json:"lead,omitempty"`
 	Plan    *PlanIntent   `json:"plan,omitempty"`
@@ -32,6 +33,10 @@
 	Expire  *Expire       `json:"expire,omitempty"`
 }
 
+// cmdVersion goes up with each change of the commands that an older program
+// would misread or carry out differently.
+const cmdVersion = 1
+
 // Years that a leader's clock may show. Deadlines are ordered as nanoseconds
 // in 64 bits, which end in 2262.
 const (
@@ -51,17 +56,22 @@
 	if bad := c.badInput(); len(bad) > 0 {
 		return nil, errors.Wrapf(ErrRefused, "%s %s", bad[0].Field, bad[0].Reason)
 	}
+	c.Version = cmdVersion
 	b, err := json.Marshal(c)
 	return b, errors.Wrap(err, "encode command")
 }
 
-// Decode reads a command that Encode wrote.
+// Decode reads a command that Encode wrote. One that a newer program wrote
+// gives ErrVersion.
 func Decode(b []byte) (Command, error) {
 	var c Command
 	dec := json.NewDecoder(bytes.NewReader(b))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&c); err != nil {
-		return Command{}, errors.Wrapf(ErrBadCommand, "decode: %v", err)
+		return Command{}, errors.Wrapf(decodeError(b), "decode: %v", err)
+	}
+	if c.Version > cmdVersion {
+		return Command{}, errors.Wrapf(ErrVersion, "command of version %d", c.Version)
 	}
 	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
 		return Command{}, errors.Wrap(ErrBadCommand, "trailing bytes")
@@ -69,6 +79,17 @@
 	return c, c.check()
 }
 
+// decodeError tells a command of a newer program from a malformed one.
+func decodeError(b []byte) error {
+	var head struct {
+		Version int `json:"version"`
+	}
+	if json.Unmarshal(b, &head) == nil && head.Version > cmdVersion {
+		return ErrVersion
+	}
+	return ErrBadCommand
+}
+
 // check verifies the header and that exactly one payload is set.
 func (c Command) check() error {
 	if c.Term == 0 {
--- a/internal/state/errors.go
+++ b/internal/state/errors.go
@@ -30,8 +30,10 @@
 	ErrKeyReused = errors.New("request key was used with another body")
 	// ErrSettled says that the claim has an outcome already.
 	ErrSettled = errors.New("claim is settled")
-	// ErrVersion says that a snapshot is of a newer version than this program.
-	ErrVersion = errors.New("snapshot is of a newer version")
+	// ErrVersion says that a snapshot or command is of a newer version than this
+	// program reads. After such a command the state machine applies nothing
+	// more, since it would differ from the other replicas'.
+	ErrVersion = errors.New("version is newer than this program")
 	// ErrCorrupt says that a snapshot is cut short or damaged.
 	ErrCorrupt = errors.New("snapshot is damaged")
 )
--- a/internal/state/restore.go
+++ b/internal/state/restore.go
@@ -25,6 +25,7 @@
 	defer s.mu.Unlock()
 	s.data = d
 	s.view = nil
+	s.halted = nil
 	return nil
 }
 
--- a/internal/state/snap.go
+++ b/internal/state/snap.go
@@ -64,8 +64,13 @@
 // Snapshot captures the state in constant time and returns a function that
 // writes the capture. The function takes no lock.
 func (s *State) Snapshot() (func(w io.Writer) error, error) {
-	v := s.View()
-	return v.Write, nil
+	s.mu.Lock()
+	halted := s.halted
+	s.mu.Unlock()
+	if halted != nil {
+		return nil, errors.Wrap(halted, "snapshot of a halted state machine")
+	}
+	return s.View().Write, nil
 }
 
 // snapWriter writes records and keeps their count and sum.
--- a/internal/state/snap_test.go
+++ b/internal/state/snap_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 )
 
@@ -110,6 +111,25 @@
 	require.EqualValues(t, 5, s.View().Index(), "a malformed command takes up its index")
 }
 
+func TestNewerCommandHalts(t *testing.T) {
+	for _, newer := range []string{
+		`{"version":2,"term":1,"now":"2026-03-01T08:00:00Z","lead":{}}`,
+		`{"version":2,"term":1,"now":"2026-03-01T08:00:00Z","boil":{"minutes":3}}`,
+	} {
+		r := busy(t)
+		before := r.snapshot()
+		require.ErrorIs(t, r.s.Apply(r.index+1, []byte(newer)).(Result).Err, ErrVersion)
+		b, err := Encode(Command{Term: 9, Now: start, Lead: &Lead{}})
+		require.NoError(t, err)
+		require.ErrorIs(t, r.s.Apply(r.index+2, b).(Result).Err, ErrVersion, "nothing is applied past it")
+		_, err = r.s.Snapshot()
+		require.ErrorIs(t, err, ErrVersion)
+		require.EqualValues(t, r.index, r.s.View().Index())
+		require.NoError(t, r.s.Restore(bytes.NewReader(before)))
+		require.Equal(t, before, r.snapshot())
+	}
+}
+
 // seal makes a snapshot of lines, with the end that belongs to them.
 func seal(lines string) []byte {
 	body := strings.TrimRight(lines, "\n") + "\n"
@@ -170,12 +190,16 @@
 		require.NoError(f, err)
 		f.Add(b)
 	}
+	f.Add([]byte(`{"version":7,"boil":1}`))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		a, twin := busy(t).s, New()
 		require.NoError(t, twin.Restore(bytes.NewReader(snapshotOf(t, a))))
 		one := a.Apply(1000, b).(Result)
 		two := twin.Apply(1000, b).(Result)
 		require.Equal(t, fmt.Sprint(one.Err), fmt.Sprint(two.Err))
+		if errors.Is(one.Err, ErrVersion) {
+			return // both have halted
+		}
 		require.Equal(t, snapshotOf(t, a), snapshotOf(t, twin))
 		c, err := Decode(b)
 		if err != nil {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -9,20 +9,29 @@
 
 // State is the state machine. It is safe for concurrent use.
 type State struct {
-	mu   sync.Mutex
-	data *data
-	view *View // of data as it stands; nil once data has changed
+	mu     sync.Mutex
+	data   *data
+	view   *View // of data as it stands; nil once data has changed
+	halted error // set by a command of a newer version
 }
 
 // New returns an empty state machine.
 func New() *State { return &State{data: newData()} }
 
 // Apply carries out the command at a log index and returns a Result. A command
-// that fails changes nothing but the term and the index.
+// that fails changes nothing but the term and the index. After a command of a
+// newer version (ErrVersion) nothing is applied any more: the process has to be
+// replaced by a newer program.
 func (s *State) Apply(index uint64, cmd []byte) any {
 	c, err := Decode(cmd)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if errors.Is(err, ErrVersion) && s.halted == nil {
+		s.halted = err
+	}
+	if s.halted != nil {
+		return Result{Index: index, Err: s.halted}
+	}
 	if index <= s.data.index {
 		err = errors.Wrapf(ErrApplied, "index %d, applied up to %d", index, s.data.index)
 		return Result{Index: index, Err: err}
