PROOF with its checker; headers pass as bytes; a newer command ends the process

From the state machine's author: an answer's header that isn't UTF-8 was refused by the log, and would not even have been sent, since protobuf strings are UTF-8. Header values are bytes now. A validity counts for the revision that the answer names. Paths are passed on as the caller wrote them.

--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,8 @@
 .PHONY: test
 test: lint vet ## Formatter, linter, vet, then every test under the race detector.
 	$(GO) build ./...
+	$(GO) run ./internal/tool/proof
+	$(GO) run ./internal/tool/capac -check
 	$(GO) build -o $(BIN)/verdict ./internal/tool/verdict
 	( $(GO) test -json -race -count=1 -timeout 20m $$($(GO) list ./... | grep -v /internal/e2e) ; \
 	  $(GO) test -json -race -count=1 -timeout 20m ./internal/e2e ) | $(BIN)/verdict
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -200,7 +200,7 @@
 	}
 	req.ContentLength = int64(len(r.body))
 	for _, h := range r.work.Headers {
-		req.Header.Add(h.Name, h.Value)
+		req.Header.Add(h.Name, string(h.Value))
 	}
 	resp, err = r.agent.transport.RoundTrip(req)
 	return resp, connected.Load(), err
@@ -227,7 +227,7 @@
 	r.agent.meters.count(ans)
 	for name, values := range resp.Header {
 		for _, v := range values {
-			ans.Headers = append(ans.Headers, &wire.Header{Name: name, Value: v})
+			ans.Headers = append(ans.Headers, &wire.Header{Name: name, Value: []byte(v)})
 		}
 	}
 	return ans
--- a/internal/contrl/contrl.go
+++ b/internal/contrl/contrl.go
@@ -155,6 +155,7 @@
 	g.Go(func() error { return c.watchVouch(ctx) })
 	g.Go(func() error { return c.watchLead(ctx) })
 	g.Go(func() error { return c.watchMeters(ctx) })
+	g.Go(func() error { return c.mach.watchHalt(ctx) })
 	if c.api != nil {
 		g.Go(func() error { return c.serveOperators(ctx) })
 	}
--- a/internal/contrl/machine.go
+++ b/internal/contrl/machine.go
@@ -1,10 +1,13 @@
 package contrl
 
 import (
+	"context"
 	"hash/fnv"
 	"io"
 	"sync"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/knapweedlug/knapweedlug/internal/state"
 )
 
@@ -15,19 +18,42 @@
 
 	mu      sync.Mutex
 	changed chan struct{} // closed at the next change
+	halted  chan error    // receives when a command is of a newer version
 }
 
 func newMachine(s *state.State) *machine {
-	return &machine{state: s, changed: make(chan struct{})}
+	return &machine{state: s, changed: make(chan struct{}), halted: make(chan error, 1)}
 }
 
 // Apply implements replog.Machine.
 func (m *machine) Apply(index uint64, cmd []byte) any {
 	res := m.state.Apply(index, cmd)
+	if r, ok := res.(state.Result); ok && errors.Is(r.Err, state.ErrVersion) {
+		m.halt(r.Err)
+	}
 	m.wake()
 	return res
 }
 
+// halt ends the process: going on would let this replica's state differ from
+// those that know the command.
+func (m *machine) halt(err error) {
+	select {
+	case m.halted <- err:
+	default:
+	}
+}
+
+// watchHalt returns once the machine has halted or ctx is done.
+func (m *machine) watchHalt(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-m.halted:
+		return errors.Wrap(err, "control: the log holds a command that this program doesn't know")
+	}
+}
+
 // Snapshot implements replog.Machine.
 func (m *machine) Snapshot() (func(w io.Writer) error, error) { return m.state.Snapshot() }
 
--- a/internal/contrl/propose.go
+++ b/internal/contrl/propose.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/hex"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -113,7 +114,7 @@
 		rep.State = wire.ClaimAnswer
 		rep.Status, rep.Body = uint32(cl.Answer.Status), cl.Answer.Body
 		for _, h := range cl.Answer.Header {
-			rep.Headers = append(rep.Headers, &wire.Header{Name: h.Name, Value: h.Value})
+			rep.Headers = append(rep.Headers, &wire.Header{Name: h.Name, Value: []byte(h.Value)})
 		}
 	}
 	return rep, nil
@@ -163,8 +164,11 @@
 	a := &state.Answer{Status: int(req.Status), Body: req.Body}
 	size := 0
 	for _, h := range req.Headers {
+		if !utf8.Valid(h.Value) {
+			continue
+		}
 		size += len(h.Name) + len(h.Value)
-		a.Header = append(a.Header, state.Header{Name: h.Name, Value: h.Value})
+		a.Header = append(a.Header, state.Header{Name: h.Name, Value: string(h.Value)})
 	}
 	if size > state.MaxHeader {
 		a.Header = nil
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -46,7 +46,7 @@
 func writeHead(w http.ResponseWriter, o *order, res result) {
 	h := w.Header()
 	for _, x := range backHeaders(res.headers) {
-		h.Add(x.Name, x.Value)
+		h.Add(x.Name, string(x.Value))
 	}
 	h.Set(client.HeaderOutcome, string(client.OutcomeAnswer))
 	h.Set(client.HeaderRequest, o.ID)
@@ -60,7 +60,7 @@
 func backHeaders(hs []*wire.Header) []*wire.Header {
 	h := http.Header{}
 	for _, x := range hs {
-		h.Add(x.Name, x.Value)
+		h.Add(x.Name, string(x.Value))
 	}
 	return forwarded(h)
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
@@ -62,10 +63,10 @@
 	if o.ID == "" {
 		o.ID = uuid.NewString()
 	}
-	if len(o.ID) > maxRequestID {
-		return nil, badField(client.HeaderRequest, "longer than 128 bytes")
+	if len(o.ID) > maxRequestID || !utf8.ValidString(o.ID) {
+		return nil, badField(client.HeaderRequest, "want UTF-8 of at most 128 bytes")
 	}
-	service, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, callPrefix), "/")
+	service, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), callPrefix), "/")
 	o.Service = service
 	o.path = "/" + rest
 	if r.URL.RawQuery != "" {
@@ -121,9 +122,9 @@
 		o.Deadline = dl
 	}
 	o.headers = forwarded(r.Header)
-	o.headers = append(o.headers, &wire.Header{Name: client.HeaderRequest, Value: o.ID})
+	o.headers = append(o.headers, &wire.Header{Name: client.HeaderRequest, Value: []byte(o.ID)})
 	if o.Key != "" {
-		o.headers = append(o.headers, &wire.Header{Name: client.HeaderKey, Value: o.Key})
+		o.headers = append(o.headers, &wire.Header{Name: client.HeaderKey, Value: []byte(o.Key)})
 	}
 	return nil
 }
@@ -151,7 +152,7 @@
 			continue
 		}
 		for _, v := range values {
-			out = append(out, &wire.Header{Name: name, Value: v})
+			out = append(out, &wire.Header{Name: name, Value: []byte(v)})
 		}
 	}
 	return out
--- a/internal/poll/config.go
+++ b/internal/poll/config.go
@@ -26,6 +26,6 @@
 		}
 		log.Info("configuration in force", zap.Uint64("revision", d.Revision))
 	}
-	h.Vouch(deadline)
+	h.VouchAt(rep.Revision, deadline)
 	return nil
 }
--- a/internal/tool/capac/table.go
+++ b/internal/tool/capac/table.go
@@ -49,7 +49,7 @@
 	entryHosts = 40 // over both regions
 	controls   = 15
 	jobs       = 13_000 * 3 // kept for three days
-	plans      = (13_000 + 6_500) * 30
+	plans      = (13_000 + 6_500) * 7
 	claims     = 1_000_000
 )
 
@@ -119,7 +119,7 @@
 	}{
 		{"state: gangs and their leases", "BenchmarkMemory/gang16", jobs},
 		{"state: workers", "BenchmarkMemory/worker", agents},
-		{"state: plans kept 30 days", "BenchmarkMemory/plan+revision", plans},
+		{"state: plans kept 7 days", "BenchmarkMemory/plan+revision", plans},
 		{"state: claims with answers of 1 KiB", "BenchmarkMemory/claim1KiB", claims},
 	} {
 		v, err := fs.value(x.bench, "B/1000")
--- /dev/null
+++ b/internal/tool/proof/main.go
@@ -0,0 +1,110 @@
+// Command proof checks docs/PROOF.md: every test that the page names exists,
+// and every command in it is one that the suite runs.
+package main
+
+import (
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+)
+
+const page = "docs/PROOF.md"
+
+var (
+	funcLine = regexp.MustCompile(`(?m)^func ((?:Test|Fuzz|Benchmark)\w*)\(`)
+	named    = regexp.MustCompile("`((?:Test|Fuzz|Benchmark)[A-Z]\\w*)`")
+	command  = regexp.MustCompile("`((?:go test|make) [^`]*)`")
+	target   = regexp.MustCompile(`(?m)^([a-z]+):`)
+	runFlag  = regexp.MustCompile(`-run '?([^' ]+)'?`)
+	pkgArg   = regexp.MustCompile(`\./[\w/.]+`)
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "proof:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	text, err := os.ReadFile(page)
+	if err != nil {
+		return err
+	}
+	tests, err := allTests()
+	if err != nil {
+		return err
+	}
+	var faults []string
+	for _, m := range named.FindAllStringSubmatch(string(text), -1) {
+		if !tests[m[1]] {
+			faults = append(faults, "no test is named "+m[1])
+		}
+	}
+	makefile, err := os.ReadFile("Makefile")
+	if err != nil {
+		return err
+	}
+	for _, m := range command.FindAllStringSubmatch(string(text), -1) {
+		if fault := checkCommand(m[1], string(makefile), tests); fault != "" {
+			faults = append(faults, fmt.Sprintf("%s: %s", m[1], fault))
+		}
+	}
+	if len(faults) > 0 {
+		return fmt.Errorf("%s:\n%s", page, strings.Join(faults, "\n"))
+	}
+	return nil
+}
+
+// allTests returns the names of every test, fuzz target and benchmark.
+func allTests() (map[string]bool, error) {
+	names := map[string]bool{}
+	err := filepath.WalkDir(".", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		data, err := os.ReadFile(path)
+		for _, m := range funcLine.FindAllStringSubmatch(string(data), -1) {
+			names[m[1]] = true
+		}
+		return err
+	})
+	return names, err
+}
+
+// checkCommand returns what is wrong with a command, or nothing. The suite runs
+// every test of every package, so a test command is run if its package and the
+// tests that it picks exist.
+func checkCommand(cmd, makefile string, tests map[string]bool) string {
+	if name, ok := strings.CutPrefix(cmd, "make "); ok {
+		for _, m := range target.FindAllStringSubmatch(makefile, -1) {
+			if m[1] == name {
+				return ""
+			}
+		}
+		return "the Makefile has no such target"
+	}
+	for _, dir := range pkgArg.FindAllString(cmd, -1) {
+		dir = strings.TrimSuffix(dir, "/...")
+		if _, err := os.Stat(dir); err != nil {
+			return "no package " + dir
+		}
+	}
+	m := runFlag.FindStringSubmatch(cmd)
+	if m == nil {
+		return ""
+	}
+	want, err := regexp.Compile(m[1])
+	if err != nil {
+		return err.Error()
+	}
+	for name := range tests {
+		if want.MatchString(name) {
+			return ""
+		}
+	}
+	return "picks no test"
+}
