Slow callers of large answers are cut; entries know how many share a slot; traces of real entries are read back; agent tests

TestRecordedTrace failed at first: requests were sent on credits that the trace didn't hold. Cause: the trace begins with the first configuration, and agents grant before. Credits are now followed from the start and written at its head.

--- a/internal/agent/entries.go
+++ b/internal/agent/entries.go
@@ -31,6 +31,8 @@
 	}
 	m.events <- a.announceEvent()
 	a.grants.join(m)
+	a.grants.broadcast(a.announceEvent())
+	defer func() { a.grants.broadcast(a.announceEvent()) }()
 	defer a.grants.leave(m)
 	stop := context.AfterFunc(ctx, st.Reset)
 	defer stop()
@@ -80,5 +82,6 @@
 		Server:  ann.ID,
 		Slots:   uint32(ann.Slots),
 		State:   string(a.offered()),
+		Entries: uint32(a.grants.count()),
 	}}}
 }
--- a/internal/agent/grants.go
+++ b/internal/agent/grants.go
@@ -96,6 +96,13 @@
 	}
 }
 
+// count returns the number of entries that share the slots.
+func (g *grants) count() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.members)
+}
+
 func (g *grants) demand(m *member, d admit.Demand) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -176,7 +176,7 @@
 
 func (c *cluster) entryFile(i int) string {
 	return c.file("entry", fmt.Sprintf("ent%d", i+1), i, map[string]any{
-		"listen": c.callAddr[i], "agents": c.peerAddr[i], "control": c.ctlAddr, "leave": 100,
+		"listen": c.callAddr[i], "agents": c.peerAddr[i], "control": c.ctlAddr, "leave": 100, "record": c.tracePath(i),
 		"operators": map[string]string{operatorName: operatorKey},
 	})
 }
@@ -371,3 +371,11 @@
 	}
 	return "debug"
 }
+
+// tracePath is where an entry records its requests.
+func (c *cluster) tracePath(entry int) string {
+	if _, ok := c.t.(*testing.B); ok {
+		return ""
+	}
+	return filepath.Join(c.dir, fmt.Sprintf("ent%d.trace", entry+1))
+}
--- /dev/null
+++ b/internal/e2e/trace_test.go
@@ -0,0 +1,74 @@
+package e2e
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/knapweedlug/knapweedlug/internal/trace"
+	"github.com/knapweedlug/knapweedlug/pkg/client"
+)
+
+// TestRecordedTrace reads back what a real entry recorded of a flood and
+// compares it with what the callers were told.
+func TestRecordedTrace(t *testing.T) {
+	c := ready(t, size{controls: 3, entries: 1, agents: 1, workers: 1})
+	const requests = 60
+	told := make([]client.Outcome, requests)
+	var g errgroup.Group
+	for i := range requests {
+		g.Go(func() error {
+			told[i] = c.call(0, ask{id: fmt.Sprint("r", i), ms: 50, body: "x", within: 400 * time.Millisecond}).outcome
+			return nil
+		})
+	}
+	require.NoError(t, g.Wait())
+	require.Equal(t, 0, c.entries[0].stop(25*time.Second))
+	last := readTrace(t, c.tracePath(0))
+	for i, out := range told {
+		want := trace.Answer
+		if out == client.OutcomeNotRun {
+			want = trace.Refuse
+		}
+		require.Equal(t, want, last[fmt.Sprint("r", i)], "request %d was told %s", i, out)
+	}
+}
+
+// readTrace checks a whole trace and returns the last event of each request. No
+// request may be sent on a credit that the entry was not granted.
+func readTrace(t *testing.T, path string) map[string]trace.Kind {
+	t.Helper()
+	f, err := os.Open(path)
+	require.NoError(t, err)
+	defer f.Close()
+	r, err := trace.NewReader(f)
+	require.NoError(t, err)
+	last := map[string]trace.Kind{}
+	credits := map[string]bool{}
+	for {
+		e, err := r.Read()
+		if errors.Is(err, io.EOF) {
+			return last
+		}
+		require.NoError(t, err)
+		credit := fmt.Sprint(e.Server, " ", e.Slot)
+		switch e.Kind {
+		case trace.Grant:
+			credits[credit] = true
+		case trace.Revoke:
+			delete(credits, credit)
+		case trace.Send:
+			require.True(t, credits[credit], "sent on a credit that is not held")
+			delete(credits, credit)
+		}
+		if e.ID != "" {
+			last[e.ID] = e.Kind
+		}
+	}
+}
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -28,6 +28,7 @@
 	service string
 	server  string
 	slots   int
+	entries int // that share its slots
 	state   string
 	wake    chan struct{}
 }
@@ -154,6 +155,7 @@
 		d.picker(a.service).Remove(a.name)
 	}
 	a.service, a.server, a.slots, a.state = ann.Service, ann.Server, int(ann.Slots), ann.State
+	a.entries = int(ann.Entries)
 	if a.service == "" {
 		return
 	}
--- a/internal/entry/desk.go
+++ b/internal/entry/desk.go
@@ -61,14 +61,17 @@
 	d.fleet()
 }
 
-// fleet tells the queue how many slots each service has.
+// fleet tells the queue how many slots each service has, and how many entries
+// share them.
 func (d *desk) fleet() {
 	clear(d.slots)
+	entries := map[string]int{}
 	for _, a := range d.agents {
 		d.slots[a.service] += a.slots
+		entries[a.service] = max(1, entries[a.service], a.entries)
 	}
 	for service, n := range d.slots {
-		d.queue.SetFleet(service, n, 1)
+		d.queue.SetFleet(service, n, entries[service])
 	}
 }
 
@@ -118,7 +121,9 @@
 	p.Return(s.credit.Server)
 	if d.agents[s.credit.Server] == s.agent {
 		p.Grant(s.credit)
+		d.rec.write(trace.Event{Kind: trace.Grant, Server: s.credit.Server, Slot: s.credit.ID})
 	}
+	d.rec.write(trace.Event{Kind: trace.Cancel, ID: f.order.ID})
 	d.queue.Done(f.order.Request, 0, admit.NotRun, d.clock.Now())
 	d.match(f.order.Service)
 }
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -18,6 +18,9 @@
 	// maxBuffered is the largest answer in bytes that is read whole before any
 	// of it is passed on, so that a cut answer can still be told as such.
 	maxBuffered = 1 << 20
+	// slowReader is how long a caller may take for one part of a large answer,
+	// which holds a slot of the backend server meanwhile.
+	slowReader = 5 * time.Second
 )
 
 // dispatch sends the request to the agent of its credit and reads the answer.
@@ -145,8 +148,12 @@
 	writeHead(w, o, res)
 	data := res.body
 	res.body = nil
+	rc := http.NewResponseController(w)
 	for {
+		_ = rc.SetWriteDeadline(time.Now().Add(slowReader))
 		if _, err := w.Write(data); err != nil {
+			e.env.Log.Info("caller took the answer too slowly or went away", zap.String("request", o.ID),
+				zap.String("team", o.Team), zap.Error(err))
 			return res
 		}
 		c, err := nextChunk(st)
--- a/internal/entry/record.go
+++ b/internal/entry/record.go
@@ -26,13 +26,20 @@
 	file  *os.File
 	w     *trace.Writer
 	start time.Time
+	held  map[slotKey]bool // credits that are held, also before the trace begins
+}
+
+// slotKey names one credit of one agent.
+type slotKey struct {
+	server string
+	slot   uint64
 }
 
 func newRecorder(path string, env *kern.Env) *recorder {
 	if path == "" {
 		return nil
 	}
-	return &recorder{path: path, entry: env.Node.Name, clock: env.Clock, log: env.Log}
+	return &recorder{path: path, entry: env.Node.Name, clock: env.Clock, log: env.Log, held: map[slotKey]bool{}}
 }
 
 // begin opens the trace once the configuration is known, which is its header.
@@ -59,7 +66,13 @@
 	r.w, err = trace.NewWriter(f, trace.Header{
 		Cluster: cluster, Start: r.start, Slots: slots, Teams: withoutKeys(cfg), Services: cfg.Services(),
 	})
-	return err
+	if err != nil {
+		return err
+	}
+	for key := range r.held {
+		r.append(trace.Event{Kind: trace.Grant, Server: key.server, Slot: key.slot})
+	}
+	return nil
 }
 
 // write adds an event at the present time.
@@ -69,9 +82,25 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.follow(e)
 	if r.w == nil {
 		return
 	}
+	r.append(e)
+}
+
+// follow keeps account of the credits.
+func (r *recorder) follow(e trace.Event) {
+	key := slotKey{e.Server, e.Slot}
+	switch e.Kind {
+	case trace.Grant:
+		r.held[key] = true
+	case trace.Revoke, trace.Send:
+		delete(r.held, key)
+	}
+}
+
+func (r *recorder) append(e trace.Event) {
 	e.At = r.clock.Now().Sub(r.start).Microseconds()
 	e.Entry = r.entry
 	var field *trace.FieldError
