wire: a request and a small answer are one write each

Before, a call wrote its name, its head and its body one after the other, each through the session's own queue; so did the answer.

--- a/internal/agent/claim.go
+++ b/internal/agent/claim.go
@@ -28,10 +28,7 @@
 	default:
 		r.settle(head, kept)
 	}
-	if err := r.stream.Send(head); err != nil {
-		return err
-	}
-	return r.copyBody(io.MultiReader(bytes.NewReader(kept), resp.Body))
+	return r.pass(head, io.MultiReader(bytes.NewReader(kept), resp.Body))
 }
 
 // settle records the outcome of a claimed request. When no control process
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/knapweedlug/knapweedlug/internal/admit"
 	"github.com/knapweedlug/knapweedlug/internal/wire"
@@ -160,10 +161,7 @@
 	if r.work.Key != "" {
 		return r.answerClaimed(resp)
 	}
-	if err := r.stream.Send(r.head(resp)); err != nil {
-		return err
-	}
-	return r.copyBody(resp.Body)
+	return r.pass(r.head(resp), resp.Body)
 }
 
 // watchEntry cancels the run when the entry closes its end of the stream.
@@ -233,21 +231,23 @@
 	return ans
 }
 
-// copyBody sends the answer's body in chunks. Only the last chunk of a whole
-// body is marked as such.
-func (r *run) copyBody(body io.Reader) error {
+// pass sends the answer's head with the first chunk of its body, and the other
+// chunks as they come. Only the last chunk of a whole body is marked as such.
+func (r *run) pass(head *wire.Answer, body io.Reader) error {
 	buf := make([]byte, chunkSize)
+	out := []proto.Message{head}
 	for {
 		n, err := body.Read(buf)
 		c := &wire.Chunk{Data: buf[:n], Last: errors.Is(err, io.EOF)}
 		if err != nil && !c.Last {
 			c.Error = err.Error()
 		}
-		if sendErr := r.stream.Send(c); sendErr != nil {
+		if sendErr := r.stream.Send(append(out, c)...); sendErr != nil {
 			return sendErr
 		}
 		if err != nil {
 			return nil
 		}
+		out = nil
 	}
 }
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -52,7 +52,7 @@
 // failure is "not run": the agent starts nothing before it has read it whole,
 // and the credit of a stream that was lost is used up or dropped.
 func (e *Entry) exchange(ctx context.Context, w http.ResponseWriter, o *order, s start) result {
-	st, err := s.agent.sess.Open(ctx, wire.MethodWork, o.ID)
+	st, err := s.agent.sess.Stream(ctx)
 	if err != nil {
 		return result{outcome: client.OutcomeNotRun, code: client.CodeLost, again: true}
 	}
@@ -91,7 +91,10 @@
 		Remainms: uint32(max(0, dl.Sub(e.env.Clock.Now()).Milliseconds())),
 		Key:      o.Key, Epoch: o.claim, Revision: e.conf.Revision(),
 	}
-	if err := st.Send(work); err != nil {
+	if len(o.body) <= chunkSize {
+		return true, st.Begin(ctx, wire.MethodWork, o.ID, work, &wire.Chunk{Data: o.body, Last: true})
+	}
+	if err := st.Begin(ctx, wire.MethodWork, o.ID, work); err != nil {
 		return false, err
 	}
 	body := o.body
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -23,17 +23,29 @@
 var ErrFrame = errors.New("malformed frame")
 
 // WriteMessage writes one framed message with a single Write.
-func WriteMessage(w io.Writer, m proto.Message) error {
-	buf := make([]byte, lengthSize, lengthSize+proto.Size(m))
-	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, m)
-	if err != nil {
-		return errors.Wrap(err, "encode frame")
+func WriteMessage(w io.Writer, m proto.Message) error { return WriteMessages(w, m) }
+
+// WriteMessages writes several framed messages with a single Write.
+func WriteMessages(w io.Writer, ms ...proto.Message) error {
+	size := 0
+	for _, m := range ms {
+		size += lengthSize + proto.Size(m)
 	}
-	if len(buf)-lengthSize > MaxFrame {
-		return errors.Wrapf(ErrFrame, "message of %d bytes, at most %d", len(buf)-lengthSize, MaxFrame)
+	buf := make([]byte, 0, size)
+	for _, m := range ms {
+		at := len(buf)
+		buf = append(buf, make([]byte, lengthSize)...)
+		var err error
+		if buf, err = (proto.MarshalOptions{}).MarshalAppend(buf, m); err != nil {
+			return errors.Wrap(err, "encode frame")
+		}
+		n := len(buf) - at - lengthSize
+		if n > MaxFrame {
+			return errors.Wrapf(ErrFrame, "message of %d bytes, at most %d", n, MaxFrame)
+		}
+		binary.BigEndian.PutUint32(buf[at:], uint32(n))
 	}
-	binary.BigEndian.PutUint32(buf, uint32(len(buf)-lengthSize))
-	_, err = w.Write(buf)
+	_, err := w.Write(buf)
 	return err
 }
 
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -58,10 +58,7 @@
 		if err != nil {
 			return st.Send(replyOf(err))
 		}
-		if err := st.Send(&Reply{}); err != nil {
-			return err
-		}
-		return st.Send(resp)
+		return st.Send(&Reply{}, resp)
 	})
 }
 
--- a/internal/wire/sess.go
+++ b/internal/wire/sess.go
@@ -97,25 +97,42 @@
 // Streams returns how many streams are open.
 func (s *Session) Streams() int { return s.mux.NumStreams() }
 
-// Open opens a stream for method. The stream's deadline is that of ctx.
-func (s *Session) Open(ctx context.Context, method, id string) (*Stream, error) {
+// Stream opens a stream on which nothing was sent yet. Its deadline is that of
+// ctx.
+func (s *Session) Stream(ctx context.Context) (*Stream, error) {
 	ys, err := s.mux.OpenStream()
 	if err != nil {
-		return nil, closed(errors.Wrapf(err, "open %s to %s", method, s.peer.Name))
+		return nil, closed(errors.Wrapf(err, "open a stream to %s", s.peer.Name))
 	}
-	st := &Stream{Stream: ys, peer: s.peer}
-	call := &Call{Method: method, Id: id}
 	if dl, ok := ctx.Deadline(); ok {
 		_ = ys.SetDeadline(dl)
-		call.Remainms = remainMs(dl)
 	}
-	if err := st.Send(call); err != nil {
-		_ = ys.Close()
+	return &Stream{Stream: ys, peer: s.peer}, nil
+}
+
+// Open opens a stream for method and sends the first messages of it.
+func (s *Session) Open(ctx context.Context, method, id string, first ...proto.Message) (*Stream, error) {
+	st, err := s.Stream(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if err := st.Begin(ctx, method, id, first...); err != nil {
+		_ = st.Close()
 		return nil, errors.Wrapf(err, "open %s to %s", method, s.peer.Name)
 	}
 	return st, nil
 }
 
+// Begin names the method that the stream is for, and sends the first messages
+// with it.
+func (st *Stream) Begin(ctx context.Context, method, id string, first ...proto.Message) error {
+	call := &Call{Method: method, Id: id}
+	if dl, ok := ctx.Deadline(); ok {
+		call.Remainms = remainMs(dl)
+	}
+	return st.Send(append([]proto.Message{call}, first...)...)
+}
+
 func remainMs(deadline time.Time) uint32 {
 	ms := time.Until(deadline).Milliseconds()
 	if ms < 1 {
@@ -126,16 +143,13 @@
 
 // Call sends req to method and waits for resp.
 func (s *Session) Call(ctx context.Context, method string, req, resp proto.Message) error {
-	st, err := s.Open(ctx, method, "")
+	st, err := s.Open(ctx, method, "", req)
 	if err != nil {
 		return err
 	}
 	defer st.Reset()
 	stop := context.AfterFunc(ctx, st.Reset)
 	defer stop()
-	if err := st.Send(req); err != nil {
-		return errors.Wrapf(err, "call %s on %s", method, s.peer.Name)
-	}
 	if err := st.readReply(resp); err != nil {
 		return errors.Wrapf(err, "call %s on %s", method, s.peer.Name)
 	}
@@ -151,8 +165,8 @@
 // Peer returns who is at the other end.
 func (st *Stream) Peer() Peer { return st.peer }
 
-// Send writes one message.
-func (st *Stream) Send(m proto.Message) error { return WriteMessage(st.Stream, m) }
+// Send writes messages, with a single Write.
+func (st *Stream) Send(ms ...proto.Message) error { return WriteMessages(st.Stream, ms...) }
 
 // Recv reads one message.
 func (st *Stream) Recv(m proto.Message) error { return ReadMessage(st.Stream, m, MaxFrame) }
