--- a/internal/replog/member.go
+++ b/internal/replog/member.go
@@ -109,17 +109,26 @@
 	return slices.DeleteFunc(slices.Clone(ms), func(m Member) bool { return m.Role != Voter })
 }
 
-func (ms Members) quorum() int { return len(ms.voters())/2 + 1 }
+func (ms Members) quorum() int {
+	n := 0
+	for i := range ms {
+		if ms[i].Role == Voter {
+			n++
+		}
+	}
+	return n/2 + 1
+}
 
 // quorumValue returns the highest value that a majority of voters has reached.
 func (ms Members) quorumValue(value func(inc string) uint64) uint64 {
-	voters := ms.voters()
-	if len(voters) == 0 {
-		return 0
+	values := make([]uint64, 0, len(ms))
+	for i := range ms {
+		if ms[i].Role == Voter {
+			values = append(values, value(ms[i].Incarnation))
+		}
 	}
-	values := make([]uint64, len(voters))
-	for i, m := range voters {
-		values[i] = value(m.Incarnation)
+	if len(values) == 0 {
+		return 0
 	}
 	slices.Sort(values)
 	return values[len(values)-ms.quorum()]
