--- /dev/null
+++ b/internal/replog/simop_test.go
@@ -0,0 +1,193 @@
+package replog
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/knapweedlug/knapweedlug/internal/store/memdisk"
+	"github.com/knapweedlug/knapweedlug/internal/wire"
+)
+
+// snapshot takes a snapshot as Node does.
+func (s *sim) snapshot(h *simHost) {
+	c := h.core
+	term, ok := c.log.term(c.applied)
+	if !ok || c.applied == 0 || c.transferring() || c.restore != nil {
+		return
+	}
+	at := c.history.at(c.applied)
+	meta := &wire.LogSnapshot{
+		Index: c.applied, Term: term, Members: at.members.wire(), MembersIndex: at.index,
+		Id: fmt.Sprintf("%s-%d-%d", c.self, c.boot, c.applied),
+	}
+	state := h.state
+	err := h.st.WriteSnapshot(meta, func(w io.Writer) error { return json.NewEncoder(w).Encode(state) })
+	if err == nil {
+		err = h.st.Compact(c.compact(meta.GetIndex()))
+	}
+	if err != nil {
+		s.t.Fatalf("%s takes a snapshot: %v", h.name, err)
+	}
+}
+
+// write proposes a value on a host.
+func (s *sim) write(h *simHost, value string) {
+	if !s.up(h) {
+		return
+	}
+	h.core.advance(s.local(h))
+	index, err := h.core.propose([]byte(value))
+	if err != nil {
+		return
+	}
+	s.clients = append(s.clients, &simOp{
+		write: true, value: value, index: index, term: h.core.state.term, host: h, call: s.now,
+	})
+	s.settle(h)
+}
+
+// read begins a read on a host.
+func (s *sim) read(h *simHost) {
+	if !s.up(h) || h.core.role != Leader {
+		return
+	}
+	h.core.advance(s.local(h))
+	op := &simOp{host: h, call: s.now, read: h.core.newRead(), term: h.core.state.term}
+	s.clients = append(s.clients, op)
+	h.reads = append(h.reads, op)
+	if !h.core.hasLease(s.local(h)) {
+		h.core.beginRound()
+	}
+	s.settle(h)
+}
+
+func (s *sim) finishReads(h *simHost) {
+	kept := h.reads[:0]
+	for _, op := range h.reads {
+		switch {
+		case h.core.role != Leader || h.core.state.term != op.term:
+			op.failed = true
+		case h.core.readReady(op.read, s.local(h)):
+			op.done, op.ok, op.value = s.now, true, h.state.Value
+		default:
+			kept = append(kept, op)
+		}
+	}
+	h.reads = kept
+}
+
+// leader returns the host that leads in the highest term, if any.
+func (s *sim) leader() *simHost {
+	var best *simHost
+	for _, h := range s.hosts {
+		if s.up(h) && h.core.role == Leader && (best == nil || h.core.state.term > best.core.state.term) {
+			best = h
+		}
+	}
+	return best
+}
+
+// lead makes a host the leader of a group that is whole.
+func (s *sim) lead(name string) *simHost {
+	h := s.host(name)
+	s.runUntil(name+" leads", time.Minute, func() bool {
+		if l := s.leader(); l != nil && l != h {
+			l.core.becomeFollower(l.core.state.term, "")
+		}
+		for _, o := range s.hosts {
+			o.core.promiseDeadline = o.core.now
+			o.core.resetElection()
+		}
+		if h.core.role == Follower {
+			h.core.electionDeadline = h.core.now
+		}
+		return h.core.role == Leader && h.core.ready()
+	})
+	s.run(3 * DefaultHeartbeat)
+	return h
+}
+
+// cutOff cuts the messages from one host to another.
+func (s *sim) cutOff(from, to string) { s.cut[[2]string{from, to}] = true }
+
+// isolate cuts a host off from all others.
+func (s *sim) isolate(name string) {
+	for _, h := range s.hosts {
+		s.cutOff(name, h.name)
+		s.cutOff(h.name, name)
+	}
+}
+
+// wipe takes a host's disk away and starts it with an empty one.
+func (s *sim) wipe(h *simHost) {
+	s.crash(h)
+	h.disk = memdisk.New()
+	s.boot(h)
+}
+
+// repair replaces the lost self of a host, as an operator would.
+func (s *sim) repair() {
+	l := s.leader()
+	if l == nil {
+		return
+	}
+	for _, a := range l.core.waiting() {
+		if m, err := l.core.members().lookup(a.Name); err == nil {
+			_, _ = l.core.replace(m.Incarnation, a.Name)
+			s.settle(l)
+		}
+	}
+}
+
+// repaired tells whether the leader shows every repair as done.
+func (s *sim) repaired() bool {
+	l := s.leader()
+	if l == nil || !l.core.hasLease(s.local(l)) || !l.core.ready() || l.core.history.latest().index > l.core.commit {
+		return false
+	}
+	for _, h := range s.hosts {
+		if m, err := l.core.members().lookup(h.name); err != nil || m.Incarnation != h.incarnation {
+			return false
+		}
+	}
+	for _, r := range l.core.repairs() {
+		if !r.Done {
+			return false
+		}
+	}
+	return true
+}
+
+// stall holds up all writes of a host until resume.
+func (h *simHost) stall() { h.slow, h.busyAt = never, never }
+
+func (h *simHost) resume() { h.slow, h.busyAt = 0, 0 }
+
+// runUntil lets time pass until a condition holds.
+func (s *sim) runUntil(what string, limit time.Duration, cond func() bool) {
+	for end := s.now + limit; !cond(); {
+		if s.now >= end {
+			s.t.Fatalf("not reached within %v: %s\n%s", limit, what, s.describe())
+		}
+		s.run(simTick)
+	}
+}
+
+func (s *sim) describe() string {
+	out := fmt.Sprintf("at %v", s.now)
+	for _, h := range s.hosts {
+		if h.core == nil {
+			out += "\n" + h.name + " is down"
+			continue
+		}
+		c := h.core
+		out += fmt.Sprintf("\n%s (%s) %s term %d leader %s commit %d applied %d last %d saved %d vouched %v members %v peers",
+			h.name, c.self, c.role, c.state.term, c.leader, c.commit, c.applied, c.log.lastIndex(), c.log.saved, c.hello.vouched, c.members())
+		for _, p := range c.peerStatus() {
+			out += fmt.Sprintf(" %s:%s match %d refused %v", p.Incarnation, p.State, p.Match, p.Refused)
+		}
+	}
+	return out
+}
