--- a/internal/replog/chunk.go
+++ b/internal/replog/chunk.go
@@ -102,7 +102,7 @@
 // restored notes that the state machine holds a snapshot.
 func (c *core) restored(s *wire.LogSnapshot) {
 	c.applied = s.GetIndex()
-	if c.restore.GetId() == s.GetId() {
+	if c.restore.GetIndex() <= s.GetIndex() {
 		c.restore = nil
 	}
 }
--- a/internal/replog/focus_test.go
+++ b/internal/replog/focus_test.go
@@ -269,3 +269,13 @@
 		require.Less(t, rate, bytesPerSecond)
 	}
 }
+
+// TestNewerSnapshotEndsARestore restores from a snapshot that arrived after
+// the one that was to be restored.
+func TestNewerSnapshotEndsARestore(t *testing.T) {
+	_, a, _, _ := newTrio(t)
+	a.core.restore = &wire.LogSnapshot{Index: 10, Id: "first"}
+	a.core.restored(&wire.LogSnapshot{Index: 20, Id: "second"})
+	require.Nil(t, a.core.restore)
+	require.EqualValues(t, 20, a.core.applied)
+}
--- a/internal/store/snap.go
+++ b/internal/store/snap.go
@@ -189,13 +189,9 @@
 
 // ReadSnapshot hands the data of the latest snapshot to read.
 func (s *Store) ReadSnapshot(read func(meta *wire.LogSnapshot, r io.Reader) error) error {
-	meta := s.Snapshot()
-	if meta == nil {
-		return ErrNoSnapshot
-	}
-	f, err := s.fs.Open(snapshotName(meta.GetIndex()), false)
+	meta, f, err := s.openLatest()
 	if err != nil {
-		return errors.Wrap(err, "open snapshot")
+		return err
 	}
 	plain := proto.CloneOf(meta)
 	plain.Size = 0
@@ -203,3 +199,19 @@
 	r := bufio.NewReaderSize(io.NewSectionReader(f, 0, size), snapshotBufSize)
 	return errors.CombineErrors(read(meta, r), f.Close())
 }
+
+// openLatest opens the latest snapshot, which a newer one may replace at any
+// time.
+func (s *Store) openLatest() (*wire.LogSnapshot, File, error) {
+	for {
+		meta := s.Snapshot()
+		if meta == nil {
+			return nil, nil, ErrNoSnapshot
+		}
+		f, err := s.fs.Open(snapshotName(meta.GetIndex()), false)
+		if err != nil && s.Snapshot() != meta {
+			continue
+		}
+		return meta, f, errors.Wrap(err, "open snapshot")
+	}
+}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -5,6 +5,7 @@
 	"hash/crc32"
 	"io"
 	"math/rand/v2"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -329,3 +330,32 @@
 		require.Len(t, open(t, d).Contents().Entries, int(saved)+59)
 	}
 }
+
+// hookFS calls hook at the next opening of a snapshot.
+type hookFS struct {
+	*memdisk.Disk
+	hook func()
+}
+
+func (h *hookFS) Open(name string, create bool) (store.File, error) {
+	if hook := h.hook; hook != nil && strings.HasPrefix(name, "snap-") {
+		h.hook = nil
+		hook()
+	}
+	return h.Disk.Open(name, create)
+}
+
+// TestSnapshotReplacedWhileItIsOpened takes a newer snapshot just before the
+// older one is opened.
+func TestSnapshotReplacedWhileItIsOpened(t *testing.T) {
+	fs := &hookFS{Disk: memdisk.New()}
+	st := open(t, fs)
+	require.NoError(t, st.WriteSnapshot(&wire.LogSnapshot{Index: 1}, write("old")))
+	fs.hook = func() { require.NoError(t, st.WriteSnapshot(&wire.LogSnapshot{Index: 2}, write("new"))) }
+	require.NoError(t, st.ReadSnapshot(func(meta *wire.LogSnapshot, r io.Reader) error {
+		b, err := io.ReadAll(r)
+		require.Equal(t, "new", string(b))
+		require.EqualValues(t, 2, meta.GetIndex())
+		return err
+	}))
+}
