admit: a fleet of no slots, and one that changes

Cause: with no slots known the rate was zero, and the wait an infinite float turned into a duration, which is undefined; a new test showed that the request was let in by that accident. A change of the number of entries alone was not taken over. Change: without any slot requests wait up to the queue's limit and a refusal tells no retry time; a change of the fleet scales the measured rate.

--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -80,16 +80,18 @@
 }
 
 // SetFleet tells how many slots the service has and how many entries share
-// them. It is the expected rate until the queue has measured its own.
+// them. It is the expected rate until the queue has measured its own; later
+// changes scale what was measured.
 func (q *Queue) SetFleet(service string, slots, entries int) {
 	s := q.services[service]
-	if s == nil || slots == s.slots {
+	if s == nil {
 		return
 	}
-	s.slots = slots
+	expected := float64(slots) / float64(max(1, entries))
 	for class := range s.drains {
-		s.drains[class].rate = float64(slots) / float64(max(1, entries))
+		s.drains[class].scale(s.expected, expected)
 	}
+	s.slots, s.expected = slots, expected
 }
 
 // SetElsewhere tells how many slots the team uses through other entries.
@@ -153,8 +155,14 @@
 		return refuse(ErrDeadlineTooSoon, "deadline", it.r.Deadline.Sub(now).String())
 	}
 	rate := s.rate(l, it.r.Class)
-	wait := seconds(l.ahead(it.level, it.r.Class) / rate)
 	full := l.live >= q.opt.MaxQueued
+	if rate <= 0 { // no backend server yet: how long it takes isn't known
+		if full {
+			return refuseUntil(ErrQueueFull, time.Time{})
+		}
+		return nil
+	}
+	wait := seconds(l.ahead(it.level, it.r.Class) / rate)
 	slack = time.Duration(float64(slack) * q.opt.WaitShare)
 	if wait <= slack && !full {
 		return nil
--- a/internal/admit/rate.go
+++ b/internal/admit/rate.go
@@ -40,3 +40,12 @@
 		d.since = now
 	}
 }
+
+// scale follows a change of the slots that the queue may expect.
+func (d *drainRate) scale(before, after float64) {
+	if before == 0 || after == 0 {
+		d.rate = after
+		return
+	}
+	d.rate *= after / before
+}
--- a/internal/admit/retry_test.go
+++ b/internal/admit/retry_test.go
@@ -94,3 +94,22 @@
 	require.ErrorAs(t, err, &refusal)
 	require.True(t, refusal.RetryAt.After(now))
 }
+
+// Without any backend server requests wait, and no retry time is made up.
+func TestFleetThatIsGone(t *testing.T) {
+	q, now := newTestQueue(Options{MaxQueued: 2}), time.Unix(1000, 0)
+	push := func(id string) error {
+		return q.Push(Request{ID: id, Team: "a", Service: "s", Idempotent: true}, now)
+	}
+	q.SetFleet("s", 0, 1)
+	require.NoError(t, push("1"))
+	require.NoError(t, push("2"))
+	err := push("3")
+	require.ErrorIs(t, err, ErrQueueFull)
+	var refusal *Refusal
+	require.ErrorAs(t, err, &refusal)
+	require.True(t, refusal.RetryAt.IsZero(), "nobody knows when: %v", refusal.RetryAt)
+	q.SetFleet("s", 4, 2)
+	require.ErrorAs(t, push("3"), &refusal)
+	require.True(t, refusal.RetryAt.After(now))
+}
--- a/internal/admit/service.go
+++ b/internal/admit/service.go
@@ -8,16 +8,17 @@
 
 // service is the queue of one service.
 type service struct {
-	conf    model.Service
-	allowed map[string]bool // teams that may call it; nil means all
-	slots   int             // slots of the whole fleet
-	ledgers map[string]*ledger
-	active  []*ledger    // those with queued requests, and a few others
-	held    int          // guaranteed slots of the active ones
-	weights int          // weights of the active ones
-	turn    int          // where the search for the best request begins
-	queued  [2]int       // by class
-	drains  [2]drainRate // by class
+	conf     model.Service
+	allowed  map[string]bool // teams that may call it; nil means all
+	slots    int             // slots of the whole fleet
+	expected float64         // slots that this entry may expect of them
+	ledgers  map[string]*ledger
+	active   []*ledger    // those with queued requests, and a few others
+	held     int          // guaranteed slots of the active ones
+	weights  int          // weights of the active ones
+	turn     int          // where the search for the best request begins
+	queued   [2]int       // by class
+	drains   [2]drainRate // by class
 }
 
 func newService(conf model.Service) *service {
