--- a/internal/admit/line.go
+++ b/internal/admit/line.go
@@ -147,4 +147,9 @@
 	return now.Sub(it.r.Arrived) < cost
 }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+// secondsMost keeps a very long time within the range of a duration.
+const secondsMost = 1e9
+
+func seconds(s float64) time.Duration {
+	return time.Duration(min(s, secondsMost) * float64(time.Second))
+}
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -145,41 +145,6 @@
 	return it
 }
 
-// retryMargin is what the measured rate may be off when a retry time is told.
-const retryMargin = 1.1
-
-// fits refuses a request that the queue can't finish before its deadline.
-func (q *Queue) fits(s *service, l *ledger, it *item, now time.Time) error {
-	slack := it.start.Sub(now)
-	if slack < 0 {
-		return refuse(ErrDeadlineTooSoon, "deadline", it.r.Deadline.Sub(now).String())
-	}
-	rate := s.rate(l, it.r.Class)
-	full := l.live >= q.opt.MaxQueued
-	if rate <= 0 { // no backend server yet: how long it takes isn't known
-		if full {
-			return refuseUntil(ErrQueueFull, time.Time{})
-		}
-		return nil
-	}
-	wait := seconds(l.ahead(it.level, it.r.Class) / rate)
-	slack = time.Duration(float64(slack) * q.opt.WaitShare)
-	if wait <= slack && !full {
-		return nil
-	}
-	excess := time.Duration(retryMargin * float64(max(0, wait-slack)))
-	retryAt := now.Add(excess + seconds(it.mean))
-	if l.promised.After(retryAt) {
-		retryAt = l.promised
-	}
-	retryAt = retryAt.Add(seconds(it.mean / rate))
-	l.promised = retryAt
-	if full {
-		return refuseUntil(ErrQueueFull, retryAt)
-	}
-	return refuseUntil(ErrTooLate, retryAt)
-}
-
 // Pop takes the best request that a slot of the class may run.
 func (q *Queue) Pop(service string, class SlotClass, now time.Time) (Request, bool) {
 	return q.PopSlot(service, Slot{Class: class, Slow: 1}, now)
