--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -80,16 +80,18 @@
 }
 
 // SetFleet tells how many slots the service has and how many entries share
-// them. It is the expected rate until the queue has measured its own.
+// them. It is the expected rate until the queue has measured its own; later
+// changes scale what was measured.
 func (q *Queue) SetFleet(service string, slots, entries int) {
 	s := q.services[service]
-	if s == nil || slots == s.slots {
+	if s == nil {
 		return
 	}
-	s.slots = slots
+	expected := float64(slots) / float64(max(1, entries))
 	for class := range s.drains {
-		s.drains[class].rate = float64(slots) / float64(max(1, entries))
+		s.drains[class].scale(s.expected, expected)
 	}
+	s.slots, s.expected = slots, expected
 }
 
 // SetElsewhere tells how many slots the team uses through other entries.
@@ -143,35 +145,6 @@
 	return it
 }
 
-// retryMargin is what the measured rate may be off when a retry time is told.
-const retryMargin = 1.1
-
-// fits refuses a request that the queue can't finish before its deadline.
-func (q *Queue) fits(s *service, l *ledger, it *item, now time.Time) error {
-	slack := it.start.Sub(now)
-	if slack < 0 {
-		return refuse(ErrDeadlineTooSoon, "deadline", it.r.Deadline.Sub(now).String())
-	}
-	rate := s.rate(l, it.r.Class)
-	wait := seconds(l.ahead(it.level, it.r.Class) / rate)
-	full := l.live >= q.opt.MaxQueued
-	slack = time.Duration(float64(slack) * q.opt.WaitShare)
-	if wait <= slack && !full {
-		return nil
-	}
-	excess := time.Duration(retryMargin * float64(max(0, wait-slack)))
-	retryAt := now.Add(excess + seconds(it.mean))
-	if l.promised.After(retryAt) {
-		retryAt = l.promised
-	}
-	retryAt = retryAt.Add(seconds(it.mean / rate))
-	l.promised = retryAt
-	if full {
-		return refuseUntil(ErrQueueFull, retryAt)
-	}
-	return refuseUntil(ErrTooLate, retryAt)
-}
-
 // Pop takes the best request that a slot of the class may run.
 func (q *Queue) Pop(service string, class SlotClass, now time.Time) (Request, bool) {
 	return q.PopSlot(service, Slot{Class: class, Slow: 1}, now)
