--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -189,7 +189,7 @@
 	a.server.drain(a.stopping || a.asked)
 	ann := a.server.current()
 	offer := a.offered()
-	opt := route.SplitOptions{Slots: ann.Slots, ReserveMax: ann.Slots / 2}
+	opt := route.SplitOptions{Slots: ann.Slots, ReserveMax: max(0, ann.Slots-2)}
 	if svc, ok := a.conf.Config().Service(ann.Service); ok {
 		opt.Reserve = svc.Reserve
 	}
