Entries count what a team uses through other entries, as agents tell them

From the author of the queue: each entry took a team's whole guarantee for its own, so that a team could have it once an entry. Weighed: splitting the guarantee by the number of entries, which starves a team whose callers come through one.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -47,6 +47,7 @@
 	conf   *conf.Holder
 	server *server
 	grants *grants
+	shares *shares
 	tasks  *tasks
 	meters meters
 
@@ -78,6 +79,7 @@
 		conf:      conf.NewHolder(env.Node.Cluster),
 		server:    &server{},
 		grants:    newGrants(env.Clock, env.Log),
+		shares:    newShares(),
 		transport: newTransport(),
 		probes:    newTransport(),
 		ln:        ln,
@@ -127,6 +129,7 @@
 	}
 	g.Go(func() error { return a.poller.Run(ctx) })
 	g.Go(func() error { return a.watchHealth(ctx) })
+	g.Go(func() error { return a.tellShares(ctx) })
 	if a.cfg.Worker != "" {
 		g.Go(func() error { return a.tasks.run(ctx) })
 	}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -120,3 +120,17 @@
 	g.leave(m)
 	require.False(t, g.take("e1", credits[1].Id, admit.Short), "the stream has ended")
 }
+
+// TestShares checks that an entry hears once of what a team runs through the
+// other ones, and not of its own.
+func TestShares(t *testing.T) {
+	s := newShares()
+	s.add("e1", "linen", 2)
+	require.Empty(t, s.news("e1#1", "e1"))
+	news := s.news("e2#1", "e2")
+	require.Len(t, news, 1)
+	require.EqualValues(t, 2, news[0].GetElsewhere().Running)
+	require.Empty(t, s.news("e2#1", "e2"), "told already")
+	s.add("e1", "linen", -2)
+	require.EqualValues(t, 0, s.news("e2#1", "e2")[0].GetElsewhere().Running)
+}
--- a/internal/agent/entries.go
+++ b/internal/agent/entries.go
@@ -33,6 +33,7 @@
 	a.grants.join(m)
 	a.grants.broadcast(a.announceEvent())
 	defer func() { a.grants.broadcast(a.announceEvent()) }()
+	defer a.shares.forget(m.id)
 	defer a.grants.leave(m)
 	stop := context.AfterFunc(ctx, st.Reset)
 	defer stop()
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -93,6 +93,7 @@
 		return client.CodeUnavailable
 	}
 	a.server.began()
+	a.shares.add(entry, work.Team, 1)
 	return ""
 }
 
@@ -143,6 +144,7 @@
 
 func (r *run) finish() {
 	r.agent.server.ended()
+	r.agent.shares.add(r.stream.Peer().Name, r.work.Team, -1)
 	r.agent.grants.free(r.work.Credit)
 }
 
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -31,6 +31,7 @@
 	entries int // that share its slots
 	state   string
 	wake    chan struct{}
+	teams   map[string]int // slots that teams use there through other entries
 }
 
 // poke makes the agent hear of the demand soon.
@@ -48,7 +49,7 @@
 		return nil
 	}
 	_ = st.SetReadDeadline(time.Time{})
-	a := &agent{name: st.Peer().Name, sess: sess, wake: make(chan struct{}, 1)}
+	a := &agent{name: st.Peer().Name, sess: sess, wake: make(chan struct{}, 1), teams: map[string]int{}}
 	e.desk.join(a)
 	defer e.desk.leave(a)
 	ctx, cancel := context.WithCancel(ctx)
@@ -82,6 +83,8 @@
 			e.desk.granted(a, x.Grant.Credits)
 		case *wire.AgentEvent_Revoke:
 			e.desk.revoked(a, x.Revoke.Credits)
+		case *wire.AgentEvent_Elsewhere:
+			e.desk.elsewhere(a, x.Elsewhere.Team, int(x.Elsewhere.Running))
 		}
 	}
 }
@@ -137,8 +140,31 @@
 	}
 }
 
+// elsewhere notes what a team uses of an agent through other entries.
+func (d *desk) elsewhere(a *agent, team string, running int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.agents[a.name] != a {
+		return
+	}
+	d.shift(team, running-a.teams[team])
+	a.teams[team] = running
+	if a.service != "" {
+		d.match(a.service)
+	}
+}
+
+// shift changes the slots that a team uses through other entries.
+func (d *desk) shift(team string, n int) {
+	d.teams[team] += n
+	d.queue.SetElsewhere(team, d.teams[team])
+}
+
 func (d *desk) drop(a *agent) {
 	delete(d.agents, a.name)
+	for team, n := range a.teams {
+		d.shift(team, -n)
+	}
 	if a.service != "" {
 		d.picker(a.service).Remove(a.name)
 	}
--- a/internal/entry/desk.go
+++ b/internal/entry/desk.go
@@ -37,6 +37,7 @@
 	agents  map[string]*agent        // by agent name
 	flights map[string]*flight       // queued, by request id
 	slots   map[string]int           // by service
+	teams   map[string]int           // slots that teams use through other entries
 	budget  admit.Budget
 }
 
@@ -49,6 +50,7 @@
 		agents:  map[string]*agent{},
 		flights: map[string]*flight{},
 		slots:   map[string]int{},
+		teams:   map[string]int{},
 		budget:  admit.NewBudget(retryShare, retryBurst),
 	}
 }
@@ -58,6 +60,9 @@
 	defer d.mu.Unlock()
 	d.queue.SetTeams(cfg.Teams())
 	d.queue.SetServices(cfg.Services())
+	for team, n := range d.teams {
+		d.queue.SetElsewhere(team, n)
+	}
 	d.fleet()
 }
 
