sched: a team's own small work no longer keeps it from its guaranteed shape

Cause: BenchmarkReclaim, new, showed that urgent claims on guarantees didn't start within 100 decisions at 1,000 and 13,000 workers: tasks without accelerators of the same team sat in the guarantees. Such tasks now never take a guarantee with accelerators, small work takes an idle one only where nothing else is free, and gives way to a job that fills it. TestInvariants found that displaced work came back before the claim; it now waits (TestTeamClaimsWholeShape, which fails without outranked).

--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -124,6 +124,17 @@
 	return j
 }
 
+// idleTeams returns the teams that use nothing of their guarantees.
+func (f *busy) idleTeams() []string {
+	var names []string
+	for _, h := range f.s.Guarantees() {
+		if h.Used == 0 && h.Short == 0 {
+			names = append(names, h.Team)
+		}
+	}
+	return names
+}
+
 func (f *busy) end() {
 	j := f.remove(f.r.IntN(len(f.live)))
 	f.s.SetJob(j.WithState(model.JobDone, ""), f.now)
@@ -211,3 +222,48 @@
 		})
 	}
 }
+
+// BenchmarkReclaim measures how many decisions lie between a team's claim on
+// its guarantee, in a busy fleet, and the start, and what they cost together.
+// What is told to stop has stopped before the next decision.
+func BenchmarkReclaim(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
+			runtime.LockOSThread()
+			defer runtime.UnlockOSThread()
+			f, _ := newBusy(n)
+			h := hdrhistogram.New(1, int64(time.Minute), 3)
+			steps := hdrhistogram.New(1, 1000, 3)
+			b.ResetTimer()
+			idle := f.idleTeams()
+			b.ReportMetric(float64(len(idle)), "idle-teams")
+			for i := range b.N {
+				if len(idle) == 0 {
+					b.Skip("all guarantees are in use")
+				}
+				id := fmt.Sprintf("claim%d", i)
+				j := model.Job{
+					ID: id, Team: idle[i%len(idle)], Urgency: model.Urgent, EstimateMs: 1000,
+					State: model.JobQueued, Submitted: f.now, Idempotent: true,
+					Shape: model.Shape{Members: 1, Cores: 16, Memory: 32 << 30, Accels: 8, Near: model.NearWorker},
+				}
+				f.wait[id] = j
+				f.s.SetJob(j, f.now)
+				var cost time.Duration
+				n := int64(0)
+				for f.wait[id].ID != "" && n < 100 {
+					cost += f.decide()
+					n++
+				}
+				_ = h.RecordValue(int64(cost))
+				_ = steps.RecordValue(n)
+				if at, ok := f.at[id]; ok {
+					f.s.SetJob(f.remove(at).WithState(model.JobDone, ""), f.now)
+				}
+			}
+			b.ReportMetric(float64(steps.ValueAtQuantile(50)), "p50-decisions")
+			b.ReportMetric(float64(steps.Max()), "max-decisions")
+			b.ReportMetric(float64(h.ValueAtQuantile(99))/1e3, "p99-us")
+		})
+	}
+}
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -155,7 +155,7 @@
 		due := dueJobs(js)
 		for _, j := range js {
 			if s.allowed(j) && !s.delaysDue(t, j, due, now) {
-				s.tryUnits(t, j, held, now)
+				s.tryUnits(t, j, js, held, now)
 			}
 		}
 	}
@@ -178,10 +178,10 @@
 
 // tryUnits starts the job in a unit of its team, or holds the unit that it
 // waits for against jobs behind it.
-func (s *Sched) tryUnits(t *team, j *job, held map[*unit]bool, now time.Time) bool {
+func (s *Sched) tryUnits(t *team, j *job, js []*job, held map[*unit]bool, now time.Time) bool {
 	us := suiting(t, j)
 	for _, u := range us {
-		if held[u] || !u.bound() || s.sparing(u, j) {
+		if held[u] || !u.bound() || s.sparing(u, j, now) || s.outranked(u, j, js) {
 			continue
 		}
 		if s.enterUnit(u, j, now) {
@@ -216,19 +216,19 @@
 	return us
 }
 
-// Part of a unit below which a stoppable job rather borrows than uses it.
+// Part of a unit below which a job rather borrows than uses it.
 const sparePart = 4
 
 // sparing reports whether the unit should stay whole for larger gangs of its
 // team, because the job is small and can start outside.
-func (s *Sched) sparing(u *unit, j *job) bool {
-	if !u.idle() || !j.Stoppable || !j.Deadline.IsZero() {
+func (s *Sched) sparing(u *unit, j *job, now time.Time) bool {
+	if !u.idle() || !j.Deadline.IsZero() || sizeOf(j.Shape)*sparePart > u.size() {
 		return false
 	}
-	if newUnit("", 0, 0, j.Shape).size()*sparePart > u.size() {
+	if !j.Stoppable && len(s.short) > 0 {
 		return false
 	}
-	_, ok := s.fleet.Find(place.Query{Shape: j.Shape, View: place.Soft, Avoid: j.avoids})
+	_, ok := s.fleet.Find(place.Query{Shape: j.Shape, View: j.view(), Avoid: s.avoid(j, now)})
 	return ok
 }
 
@@ -278,20 +278,40 @@
 }
 
 // displace stops work of the same team that keeps the unit from a more urgent
-// job. What was promised to meet a deadline stays.
+// job, or from one that fills it. What was promised to meet a deadline stays.
 func (s *Sched) displace(u *unit, j *job, now time.Time) {
 	if !s.couldEnter(u, j) {
 		return
 	}
 	for _, other := range u.jobs {
 		promised := !other.Deadline.IsZero()
-		if promised || !other.Stoppable || !urgentThan(j, other) || other.phase != placed {
+		if promised || !other.Stoppable || other.phase != placed || !outranks(u, j, other) {
 			return
 		}
 	}
 	for _, other := range sortedJobs(u.jobs) {
-		s.stop(other, now, true, "a more urgent job of its team claims the guarantee: "+j.ID)
+		s.stop(other, now, true, "job "+j.ID+" of its team claims the guarantee")
+	}
+}
+
+// outranks reports whether a job may displace another of its team: it is more
+// urgent, or it fills the unit that the other only takes a part of.
+func outranks(u *unit, j, other *job) bool {
+	if urgentThan(j, other) {
+		return true
 	}
+	return rank(j.Urgency) == rank(other.Urgency) && u.fills(j.Shape) && !u.fills(other.Shape)
+}
+
+// outranked reports whether the job should leave an idle unit to another that
+// waits, and that would displace it there.
+func (s *Sched) outranked(u *unit, j *job, js []*job) bool {
+	if !u.idle() || !j.Stoppable || !j.Deadline.IsZero() {
+		return false
+	}
+	return slices.ContainsFunc(js, func(k *job) bool {
+		return k.phase == queued && outranks(u, k, j) && u.suits(k.Shape) && s.allowed(k) && s.couldEnter(u, k)
+	})
 }
 
 // couldEnter reports whether the unit would take the job with nothing else in it.
--- a/internal/sched/unit.go
+++ b/internal/sched/unit.go
@@ -47,7 +47,12 @@
 }
 
 // suits reports whether the job could run in the unit if nothing else did.
+//
+// Work without accelerators doesn't take a unit that has some.
 func (u *unit) suits(s model.Shape) bool {
+	if u.shape.Accels > 0 && s.Accels == 0 {
+		return false
+	}
 	if u.shape.Kind != "" && u.shape.Kind != s.Kind && s.Kind != "" {
 		return false
 	}
@@ -95,8 +100,15 @@
 	return left
 }
 
+// fills reports whether the job needs about all of the unit.
+func (u *unit) fills(s model.Shape) bool {
+	return sizeOf(s) >= u.size()
+}
+
 // size orders units by the accelerators, then the cores that they hold.
-func (u *unit) size() int {
+func (u *unit) size() int { return sizeOf(u.shape) }
+
+func sizeOf(s model.Shape) int {
 	const coresPerAccel = 64
-	return u.shape.Members * (u.shape.Accels*coresPerAccel + u.shape.Cores)
+	return s.Members * (s.Accels*coresPerAccel + s.Cores)
 }
--- a/internal/sched/wait_test.go
+++ b/internal/sched/wait_test.go
@@ -273,3 +273,20 @@
 		require.Equal(t, hours != 1, holds(w.jobs["due"].State) && !w.jobs["due"].Borrowed)
 	}
 }
+
+// TestTeamClaimsWholeShape checks that smaller work of a team in its own
+// guarantee gives way to a job that needs all of it, and doesn't come back
+// before that has started.
+func TestTeamClaimsWholeShape(t *testing.T) {
+	w := newWorld(t, Options{}, todays()...)
+	w.setTeam(holding("linen", 1, shape(1, 8, model.NearWorker)))
+	fillBorrowed(w, true)
+	w.setJob(gang("part", "linen", shape(1, 2, model.NearWorker), w.now))
+	w.settle()
+	require.True(t, holds(w.jobs["part"].State) && !w.jobs["part"].Borrowed)
+	whole := gang("whole", "linen", shape(1, 8, model.NearWorker), w.now.Add(time.Hour))
+	w.setJob(whole)
+	w.settle()
+	require.True(t, holds(w.jobs["whole"].State) && !w.jobs["whole"].Borrowed)
+	w.check()
+}
