sched: make TestTeamClaimsWholeShape fail without its mechanism

With 4 accelerators and outranked off it fails (decisions never settle); with it on it passes. The random histories of TestInvariants had shown the fault itself.

--- a/internal/sched/wait_test.go
+++ b/internal/sched/wait_test.go
@@ -281,7 +281,7 @@
 	w := newWorld(t, Options{}, todays()...)
 	w.setTeam(holding("linen", 1, shape(1, 8, model.NearWorker)))
 	fillBorrowed(w, true)
-	w.setJob(gang("part", "linen", shape(1, 2, model.NearWorker), w.now))
+	w.setJob(gang("part", "linen", shape(1, 4, model.NearWorker), w.now))
 	w.settle()
 	require.True(t, holds(w.jobs["part"].State) && !w.jobs["part"].Borrowed)
 	whole := gang("whole", "linen", shape(1, 8, model.NearWorker), w.now.Add(time.Hour))
