--- a/internal/agent/health.go
+++ b/internal/agent/health.go
@@ -8,6 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+
+	"github.com/knapweedlug/knapweedlug/internal/kern"
 )
 
 const (
@@ -18,17 +20,10 @@
 
 // watchHealth checks the backend server until ctx is done.
 func (a *Agent) watchHealth(ctx context.Context) error {
-	t := time.NewTicker(healthInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			a.checkHealth(ctx)
-			a.updateMeters()
-		}
-	}
+	return kern.Every(ctx, healthInterval, func() {
+		a.checkHealth(ctx)
+		a.updateMeters()
+	})
 }
 
 func (a *Agent) checkHealth(ctx context.Context) {
--- a/internal/agent/meters.go
+++ b/internal/agent/meters.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/uber-go/tally/v4"
 
+	"github.com/knapweedlug/knapweedlug/internal/kern"
 	"github.com/knapweedlug/knapweedlug/internal/wire"
 	"github.com/knapweedlug/knapweedlug/pkg/client"
 )
@@ -36,14 +37,7 @@
 func (a *Agent) updateMeters() {
 	now := a.env.Clock.Now()
 	a.meters.busy.Update(float64(a.server.running()))
-	a.meters.ready.Update(gauge(a.offered() == serverReady))
-	a.meters.fresh.Update(gauge(a.conf.Fresh(now)))
+	a.meters.ready.Update(kern.Gauge(a.offered() == serverReady))
+	a.meters.fresh.Update(kern.Gauge(a.conf.Fresh(now)))
 	a.meters.revision.Update(float64(a.conf.Revision()))
 }
-
-func gauge(b bool) float64 {
-	if b {
-		return 1
-	}
-	return 0
-}
--- a/internal/agent/shares.go
+++ b/internal/agent/shares.go
@@ -5,11 +5,12 @@
 	"sync"
 	"time"
 
+	"github.com/knapweedlug/knapweedlug/internal/kern"
 	"github.com/knapweedlug/knapweedlug/internal/wire"
 )
 
 // shareInterval is how often entries hear what teams use through other ones.
-const shareInterval = 50 * time.Millisecond
+const shareInterval = 100 * time.Millisecond
 
 // shares counts what each team runs here through each entry.
 type shares struct {
@@ -64,16 +65,7 @@
 
 // tellShares keeps the entries told until ctx is done.
 func (a *Agent) tellShares(ctx context.Context) error {
-	t := time.NewTicker(shareInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			a.grants.tell(a.shares)
-		}
-	}
+	return kern.Every(ctx, shareInterval, func() { a.grants.tell(a.shares) })
 }
 
 // tell sends each entry what it has not been told.
--- a/internal/contrl/lead.go
+++ b/internal/contrl/lead.go
@@ -93,24 +93,19 @@
 // watchLead takes up the leader's work whenever this process becomes the
 // leader, and lays it down when it no longer is.
 func (c *Control) watchLead(ctx context.Context) error {
-	t := time.NewTicker(leadCheck)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
-		st := c.node.Status()
-		if st.Role != replog.Leader {
-			continue
-		}
-		l := &lead{c: c, term: st.Term, sched: sched.New(sched.Defaults())}
-		if err := l.run(ctx); err != nil && ctx.Err() == nil {
-			c.env.Log.Warn("leadership ended", zap.Uint64("term", l.term), zap.Error(err))
-		}
-		c.setLead(nil)
+	return kern.Every(ctx, leadCheck, func() { c.leadOnce(ctx) })
+}
+
+func (c *Control) leadOnce(ctx context.Context) {
+	st := c.node.Status()
+	if st.Role != replog.Leader {
+		return
+	}
+	l := &lead{c: c, term: st.Term, sched: sched.New(sched.Defaults())}
+	if err := l.run(ctx); err != nil && ctx.Err() == nil {
+		c.env.Log.Warn("leadership ended", zap.Uint64("term", l.term), zap.Error(err))
 	}
+	c.setLead(nil)
 }
 
 var errTermOver = errors.New("another term has begun")
--- a/internal/contrl/meters.go
+++ b/internal/contrl/meters.go
@@ -6,6 +6,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/knapweedlug/knapweedlug/internal/kern"
 	"github.com/knapweedlug/knapweedlug/internal/replog"
 	"github.com/knapweedlug/knapweedlug/pkg/model"
 )
@@ -49,26 +50,17 @@
 
 // watchMeters sets the gauges until ctx is done.
 func (c *Control) watchMeters(ctx context.Context) error {
-	t := time.NewTicker(meterInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			c.updateMeters()
-		}
-	}
+	return kern.Every(ctx, meterInterval, c.updateMeters)
 }
 
 func (c *Control) updateMeters() {
 	m, st, v := c.meters, c.node.Status(), c.state.View()
-	m.leader.Update(gauge(st.Role == replog.Leader))
+	m.leader.Update(kern.Gauge(st.Role == replog.Leader))
 	m.term.Update(float64(st.Term))
 	m.commit.Update(float64(st.Commit))
 	m.applied.Update(float64(st.Applied))
-	m.fresh.Update(gauge(c.fresh()))
-	m.diskFull.Update(gauge(st.DiskFull))
+	m.fresh.Update(kern.Gauge(c.fresh()))
+	m.diskFull.Update(kern.Gauge(st.DiskFull))
 	open := 0
 	for _, r := range st.Repairs {
 		if !r.Done {
@@ -80,8 +72,8 @@
 	m.nodes.Update(float64(len(c.nodes.list())))
 	lost, sick := 0, 0
 	for w := range v.Workers() {
-		lost += int(gauge(w.Lost))
-		sick += int(gauge(w.State == model.WorkerQuarantine))
+		lost += int(kern.Gauge(w.Lost))
+		sick += int(kern.Gauge(w.State == model.WorkerQuarantine))
 	}
 	m.lost.Update(float64(lost))
 	m.sick.Update(float64(sick))
@@ -102,10 +94,3 @@
 	}
 	return l.sched.Queued(), short
 }
-
-func gauge(b bool) float64 {
-	if b {
-		return 1
-	}
-	return 0
-}
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -195,20 +195,15 @@
 }
 
 func (d *desk) granted(a *agent, credits []*wire.Credit) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.agents[a.name] != a || a.service == "" {
-		return
-	}
-	p := d.picker(a.service)
-	for _, c := range credits {
-		p.Grant(creditOf(a, c))
-		d.rec.write(trace.Event{Kind: trace.Grant, Server: a.name, Slot: c.Id})
-	}
-	d.match(a.service)
+	d.credits(a, credits, trace.Grant, (*route.Picker).Grant)
 }
 
 func (d *desk) revoked(a *agent, credits []*wire.Credit) {
+	d.credits(a, credits, trace.Revoke, (*route.Picker).Revoke)
+}
+
+// credits takes an agent's credits in, or back.
+func (d *desk) credits(a *agent, credits []*wire.Credit, kind trace.Kind, do func(*route.Picker, route.Credit) bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.agents[a.name] != a || a.service == "" {
@@ -216,9 +211,10 @@
 	}
 	p := d.picker(a.service)
 	for _, c := range credits {
-		p.Revoke(creditOf(a, c))
-		d.rec.write(trace.Event{Kind: trace.Revoke, Server: a.name, Slot: c.Id})
+		do(p, creditOf(a, c))
+		d.rec.write(trace.Event{Kind: kind, Server: a.name, Slot: c.Id})
 	}
+	d.match(a.service)
 }
 
 func creditOf(a *agent, c *wire.Credit) route.Credit {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -205,16 +205,7 @@
 }
 
 func (e *Entry) watchDeadlines(ctx context.Context) error {
-	t := time.NewTicker(expireInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			e.desk.expire()
-		}
-	}
+	return kern.Every(ctx, expireInterval, e.desk.expire)
 }
 
 // Drain implements kern.Runner. The health check fails first, so that the
--- a/internal/entry/meters.go
+++ b/internal/entry/meters.go
@@ -45,27 +45,13 @@
 
 // watchMeters sets the gauges and flushes the trace until ctx is done.
 func (e *Entry) watchMeters(ctx context.Context) error {
-	t := time.NewTicker(meterInterval)
-	defer t.Stop()
 	defer e.rec.flush()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
+	return kern.Every(ctx, meterInterval, func() {
 		e.rec.flush()
 		e.meters.queued.Update(float64(e.desk.queued()))
 		e.meters.running.Update(float64(e.running.Load()))
 		e.meters.agents.Update(float64(len(e.desk.agentList())))
 		e.meters.revision.Update(float64(e.conf.Revision()))
-		e.meters.fresh.Update(boolGauge(e.conf.Fresh(e.env.Clock.Now())))
-	}
-}
-
-func boolGauge(b bool) float64 {
-	if b {
-		return 1
-	}
-	return 0
+		e.meters.fresh.Update(kern.Gauge(e.conf.Fresh(e.env.Clock.Now())))
+	})
 }
