entry: a request that may have run is never told as not run

Cause: after an attempt whose answer was lost, an idempotent request is queued again; when it then expired there, or its last attempt was refused, the caller was told 'not run' although the first attempt had run. Found by reading. Ruled out: non-idempotent requests, which are never tried again after a lost answer.

--- a/internal/e2e/request_test.go
+++ b/internal/e2e/request_test.go
@@ -342,3 +342,21 @@
 	c.t.Helper()
 	putJSON(c.t, c.backURL[i]+"/fault", f)
 }
+
+// TestNotRunAfterLostAttempt kills the only agent while a request runs. The
+// request is idempotent, so it waits for another try until its deadline; but it
+// did run, and must not be told as not run.
+func TestNotRunAfterLostAttempt(t *testing.T) {
+	c := ready(t, size{controls: 3, entries: 1, agents: 1, workers: 1})
+	got := make(chan reply, 1)
+	var g errgroup.Group
+	g.Go(func() error {
+		got <- c.call(0, ask{id: "lost", ms: 400, body: "x", within: 2 * time.Second})
+		return nil
+	})
+	pollUntil(t, 5*time.Second, "the request runs", func() bool { return c.runs("lost") == 1 })
+	c.agents[0].kill()
+	require.NoError(t, g.Wait())
+	r := <-got
+	require.Equal(t, client.OutcomeUnknown, r.outcome, r.body)
+}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -69,21 +69,38 @@
 		e.refuse(w, nil, e.refusal(err, o))
 		return
 	}
+	var lost result // of an attempt that may have run
 	for attempt := 1; ; attempt++ {
 		st, err := e.wait(ctx, f)
-		if err != nil {
+		switch {
+		case err != nil && lost.mayHaveRun():
+			e.finish(w, o, lost)
+			return
+		case err != nil:
 			e.settleNotRun(o, err)
 			e.refuse(w, nil, err)
 			return
 		}
 		res := e.dispatch(ctx, w, f, st)
+		if res.mayHaveRun() {
+			lost = res
+		}
 		if !res.again || attempt >= maxAttempts || !e.again(f, st, res) {
-			e.finish(w, o, res)
+			e.finish(w, o, truth(res, lost))
 			return
 		}
 	}
 }
 
+// truth is what the caller is told after the last attempt: when an earlier one
+// may have run, "not run" would not be true.
+func truth(last, lost result) result {
+	if last.outcome == client.OutcomeNotRun && lost.mayHaveRun() {
+		return lost
+	}
+	return last
+}
+
 // again queues a request once more where that can't make it run twice.
 func (e *Entry) again(f *flight, st start, res result) bool {
 	if res.outcome == client.OutcomeNotRun {
@@ -160,3 +177,5 @@
 	again   bool // another attempt may do better
 	passed  bool // the answer has already been passed on
 }
+
+func (r result) mayHaveRun() bool { return r.outcome == client.OutcomeUnknown }
