--- a/internal/tool/capac/table.go
+++ b/internal/tool/capac/table.go
@@ -106,7 +106,33 @@
 			return nil, err
 		}
 	}
-	return append(rows, stateRows(fs)...), nil
+	extra, err := leaderRows(fs)
+	if err != nil {
+		return nil, err
+	}
+	return append(append(rows, extra...), stateRows(fs)...), nil
+}
+
+// leaderRows are what the leader needs beyond a follower: it hears of every
+// agent from the others.
+func leaderRows(fs figures) ([]row, error) {
+	var rows []row
+	for _, x := range []struct{ what, metric, unit string }{
+		{"processor time beyond the others'", "cpu-%", "% of a core"},
+		{"bytes beyond the others'", "KB/s", "KB/s"},
+	} {
+		l, err := fs.fit("BenchmarkAgents/agents=", "leader-"+x.metric)
+		if err != nil {
+			return nil, err
+		}
+		f, err := fs.fit("BenchmarkAgents/agents=", "follower-"+x.metric)
+		if err != nil {
+			return nil, err
+		}
+		slope := l.slope - f.slope
+		rows = append(rows, row{"control, leader", x.what, fmt.Sprintf("%.4g × %d", slope, agents), slope * agents, x.unit, ""})
+	}
+	return rows, nil
 }
 
 // stateRows are the parts of the replicated state, which every control process
