--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -80,16 +80,18 @@
 }
 
 // SetFleet tells how many slots the service has and how many entries share
-// them. It is the expected rate until the queue has measured its own.
+// them. It is the expected rate until the queue has measured its own; later
+// changes scale what was measured.
 func (q *Queue) SetFleet(service string, slots, entries int) {
 	s := q.services[service]
-	if s == nil || slots == s.slots {
+	if s == nil {
 		return
 	}
-	s.slots = slots
+	expected := float64(slots) / float64(max(1, entries))
 	for class := range s.drains {
-		s.drains[class].rate = float64(slots) / float64(max(1, entries))
+		s.drains[class].scale(s.expected, expected)
 	}
+	s.slots, s.expected = slots, expected
 }
 
 // SetElsewhere tells how many slots the team uses through other entries.
@@ -109,7 +111,7 @@
 		r.Deadline = now.Add(q.limit(s))
 	}
 	r.Arrived = now
-	it := q.item(r, s, level)
+	it := q.item(r, s, level, now)
 	l := s.ledger(a)
 	if err := q.fits(s, l, it, now); err != nil {
 		return err
@@ -129,42 +131,20 @@
 	return defaultLimit
 }
 
-func (q *Queue) item(r Request, s *service, level int) *item {
+// item returns the queued form of a request. If the run time to plan with
+// doesn't fit before the deadline but the typical one does, that one is used:
+// a kind that is often short isn't refused for its long ones.
+func (q *Queue) item(r Request, s *service, level int, now time.Time) *item {
 	c, mean, planned := q.sizes.judge(r, s.shortLimit())
+	left := r.Deadline.Sub(now) - q.opt.Margin
+	if typical := q.sizes.typical(r); typical > 0 && seconds(planned) > left && seconds(typical) <= left {
+		planned = typical
+	}
 	it := &item{r: r.WithClass(c), level: level, mean: mean, planned: planned}
 	it.start = r.Deadline.Add(-seconds(planned) - q.opt.Margin)
 	return it
 }
 
-// retryMargin is what the measured rate may be off when a retry time is told.
-const retryMargin = 1.1
-
-// fits refuses a request that the queue can't finish before its deadline.
-func (q *Queue) fits(s *service, l *ledger, it *item, now time.Time) error {
-	slack := it.start.Sub(now)
-	if slack < 0 {
-		return refuse(ErrDeadlineTooSoon, "deadline", it.r.Deadline.Sub(now).String())
-	}
-	rate := s.rate(l, it.r.Class)
-	wait := seconds(l.ahead(it.level, it.r.Class) / rate)
-	full := l.live >= q.opt.MaxQueued
-	slack = time.Duration(float64(slack) * q.opt.WaitShare)
-	if wait <= slack && !full {
-		return nil
-	}
-	excess := time.Duration(retryMargin * float64(max(0, wait-slack)))
-	retryAt := now.Add(excess + seconds(it.mean))
-	if l.promised.After(retryAt) {
-		retryAt = l.promised
-	}
-	retryAt = retryAt.Add(seconds(it.mean / rate))
-	l.promised = retryAt
-	if full {
-		return refuseUntil(ErrQueueFull, retryAt)
-	}
-	return refuseUntil(ErrTooLate, retryAt)
-}
-
 // Pop takes the best request that a slot of the class may run.
 func (q *Queue) Pop(service string, class SlotClass, now time.Time) (Request, bool) {
 	return q.PopSlot(service, Slot{Class: class, Slow: 1}, now)
@@ -208,7 +188,7 @@
 		return false
 	}
 	level, _ := urgencyLevel(run.r.Urgency)
-	it := q.item(run.r, s, level)
+	it := q.item(run.r, s, level, now)
 	q.queued[id] = it
 	s.push(s.ledger(run.acct), it, now)
 	return true
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/knapweedlug/knapweedlug/internal/admit"
 	"github.com/knapweedlug/knapweedlug/internal/wire"
@@ -92,6 +93,7 @@
 		return client.CodeUnavailable
 	}
 	a.server.began()
+	a.shares.add(entry, work.Team, 1)
 	return ""
 }
 
@@ -142,6 +144,7 @@
 
 func (r *run) finish() {
 	r.agent.server.ended()
+	r.agent.shares.add(r.stream.Peer().Name, r.work.Team, -1)
 	r.agent.grants.free(r.work.Credit)
 }
 
@@ -160,10 +163,7 @@
 	if r.work.Key != "" {
 		return r.answerClaimed(resp)
 	}
-	if err := r.stream.Send(r.head(resp)); err != nil {
-		return err
-	}
-	return r.copyBody(resp.Body)
+	return r.pass(r.head(resp), resp.Body)
 }
 
 // watchEntry cancels the run when the entry closes its end of the stream.
@@ -200,7 +200,7 @@
 	}
 	req.ContentLength = int64(len(r.body))
 	for _, h := range r.work.Headers {
-		req.Header.Add(h.Name, h.Value)
+		req.Header.Add(h.Name, string(h.Value))
 	}
 	resp, err = r.agent.transport.RoundTrip(req)
 	return resp, connected.Load(), err
@@ -227,27 +227,29 @@
 	r.agent.meters.count(ans)
 	for name, values := range resp.Header {
 		for _, v := range values {
-			ans.Headers = append(ans.Headers, &wire.Header{Name: name, Value: v})
+			ans.Headers = append(ans.Headers, &wire.Header{Name: name, Value: []byte(v)})
 		}
 	}
 	return ans
 }
 
-// copyBody sends the answer's body in chunks. Only the last chunk of a whole
-// body is marked as such.
-func (r *run) copyBody(body io.Reader) error {
+// pass sends the answer's head with the first chunk of its body, and the other
+// chunks as they come. Only the last chunk of a whole body is marked as such.
+func (r *run) pass(head *wire.Answer, body io.Reader) error {
 	buf := make([]byte, chunkSize)
+	out := []proto.Message{head}
 	for {
 		n, err := body.Read(buf)
 		c := &wire.Chunk{Data: buf[:n], Last: errors.Is(err, io.EOF)}
 		if err != nil && !c.Last {
 			c.Error = err.Error()
 		}
-		if sendErr := r.stream.Send(c); sendErr != nil {
+		if sendErr := r.stream.Send(append(out, c)...); sendErr != nil {
 			return sendErr
 		}
 		if err != nil {
 			return nil
 		}
+		out = nil
 	}
 }
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -28,8 +28,10 @@
 	service string
 	server  string
 	slots   int
+	entries int // that share its slots
 	state   string
 	wake    chan struct{}
+	teams   map[string]int // slots that teams use there through other entries
 }
 
 // poke makes the agent hear of the demand soon.
@@ -47,7 +49,7 @@
 		return nil
 	}
 	_ = st.SetReadDeadline(time.Time{})
-	a := &agent{name: st.Peer().Name, sess: sess, wake: make(chan struct{}, 1)}
+	a := &agent{name: st.Peer().Name, sess: sess, wake: make(chan struct{}, 1), teams: map[string]int{}}
 	e.desk.join(a)
 	defer e.desk.leave(a)
 	ctx, cancel := context.WithCancel(ctx)
@@ -81,6 +83,8 @@
 			e.desk.granted(a, x.Grant.Credits)
 		case *wire.AgentEvent_Revoke:
 			e.desk.revoked(a, x.Revoke.Credits)
+		case *wire.AgentEvent_Elsewhere:
+			e.desk.elsewhere(a, x.Elsewhere.Team, int(x.Elsewhere.Running))
 		}
 	}
 }
@@ -136,8 +140,31 @@
 	}
 }
 
+// elsewhere notes what a team uses of an agent through other entries.
+func (d *desk) elsewhere(a *agent, team string, running int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.agents[a.name] != a {
+		return
+	}
+	d.shift(team, running-a.teams[team])
+	a.teams[team] = running
+	if a.service != "" {
+		d.match(a.service)
+	}
+}
+
+// shift changes the slots that a team uses through other entries.
+func (d *desk) shift(team string, n int) {
+	d.teams[team] += n
+	d.queue.SetElsewhere(team, d.teams[team])
+}
+
 func (d *desk) drop(a *agent) {
 	delete(d.agents, a.name)
+	for team, n := range a.teams {
+		d.shift(team, -n)
+	}
 	if a.service != "" {
 		d.picker(a.service).Remove(a.name)
 	}
@@ -154,6 +181,7 @@
 		d.picker(a.service).Remove(a.name)
 	}
 	a.service, a.server, a.slots, a.state = ann.Service, ann.Server, int(ann.Slots), ann.State
+	a.entries = int(ann.Entries)
 	if a.service == "" {
 		return
 	}
@@ -167,20 +195,15 @@
 }
 
 func (d *desk) granted(a *agent, credits []*wire.Credit) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.agents[a.name] != a || a.service == "" {
-		return
-	}
-	p := d.picker(a.service)
-	for _, c := range credits {
-		p.Grant(creditOf(a, c))
-		d.rec.write(trace.Event{Kind: trace.Grant, Server: a.name, Slot: c.Id})
-	}
-	d.match(a.service)
+	d.credits(a, credits, trace.Grant, (*route.Picker).Grant)
 }
 
 func (d *desk) revoked(a *agent, credits []*wire.Credit) {
+	d.credits(a, credits, trace.Revoke, (*route.Picker).Revoke)
+}
+
+// credits takes an agent's credits in, or back.
+func (d *desk) credits(a *agent, credits []*wire.Credit, kind trace.Kind, do func(*route.Picker, route.Credit) bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.agents[a.name] != a || a.service == "" {
@@ -188,9 +211,10 @@
 	}
 	p := d.picker(a.service)
 	for _, c := range credits {
-		p.Revoke(creditOf(a, c))
-		d.rec.write(trace.Event{Kind: trace.Revoke, Server: a.name, Slot: c.Id})
+		do(p, creditOf(a, c))
+		d.rec.write(trace.Event{Kind: kind, Server: a.name, Slot: c.Id})
 	}
+	d.match(a.service)
 }
 
 func creditOf(a *agent, c *wire.Credit) route.Credit {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -18,6 +18,9 @@
 	// maxBuffered is the largest answer in bytes that is read whole before any
 	// of it is passed on, so that a cut answer can still be told as such.
 	maxBuffered = 1 << 20
+	// slowReader is how long a caller may take for one part of a large answer,
+	// which holds a slot of the backend server meanwhile.
+	slowReader = 5 * time.Second
 )
 
 // dispatch sends the request to the agent of its credit and reads the answer.
@@ -49,7 +52,7 @@
 // failure is "not run": the agent starts nothing before it has read it whole,
 // and the credit of a stream that was lost is used up or dropped.
 func (e *Entry) exchange(ctx context.Context, w http.ResponseWriter, o *order, s start) result {
-	st, err := s.agent.sess.Open(ctx, wire.MethodWork, o.ID)
+	st, err := s.agent.sess.Stream(ctx)
 	if err != nil {
 		return result{outcome: client.OutcomeNotRun, code: client.CodeLost, again: true}
 	}
@@ -88,7 +91,10 @@
 		Remainms: uint32(max(0, dl.Sub(e.env.Clock.Now()).Milliseconds())),
 		Key:      o.Key, Epoch: o.claim, Revision: e.conf.Revision(),
 	}
-	if err := st.Send(work); err != nil {
+	if len(o.body) <= chunkSize {
+		return true, st.Begin(ctx, wire.MethodWork, o.ID, work, &wire.Chunk{Data: o.body, Last: true})
+	}
+	if err := st.Begin(ctx, wire.MethodWork, o.ID, work); err != nil {
 		return false, err
 	}
 	body := o.body
@@ -145,8 +151,12 @@
 	writeHead(w, o, res)
 	data := res.body
 	res.body = nil
+	rc := http.NewResponseController(w)
 	for {
+		_ = rc.SetWriteDeadline(time.Now().Add(slowReader))
 		if _, err := w.Write(data); err != nil {
+			e.env.Log.Info("caller took the answer too slowly or went away", zap.String("request", o.ID),
+				zap.String("team", o.Team), zap.Error(err))
 			return res
 		}
 		c, err := nextChunk(st)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -35,7 +35,7 @@
 	writeTimeout   = 10 * time.Minute
 	idleTimeout    = 60 * time.Second
 	maxHeaderBytes = 32 << 10
-	expireInterval = 10 * time.Millisecond
+	expireInterval = 40 * time.Millisecond
 	drainCheck     = 10 * time.Millisecond
 )
 
@@ -205,16 +205,7 @@
 }
 
 func (e *Entry) watchDeadlines(ctx context.Context) error {
-	t := time.NewTicker(expireInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			e.desk.expire()
-		}
-	}
+	return kern.Every(ctx, expireInterval, e.desk.expire)
 }
 
 // Drain implements kern.Runner. The health check fails first, so that the
--- a/internal/replog/change.go
+++ b/internal/replog/change.go
@@ -41,8 +41,8 @@
 		return 0, err
 	}
 	a, ok := c.hello.announced[name]
-	if !ok || a.formed {
-		return 0, errors.Wrapf(ErrNoReplica, "%q has not announced itself as new", name)
+	if !ok {
+		return 0, errors.Wrapf(ErrNoReplica, "%q has not announced itself", name)
 	}
 	if _, ok := c.members().get(a.incarnation); ok {
 		return 0, errors.Wrapf(ErrMember, "%q, incarnation %s", name, a.incarnation)
@@ -63,11 +63,11 @@
 }
 
 // caughtUp tells whether a member holds on disk what was committed less than
-// an election time ago. The leader itself always does, even if it is the
-// replacement whose repair is still to be completed.
+// an election time ago. The leader may itself be the replacement whose repair
+// is still to be completed.
 func (c *core) caughtUp(inc string) bool {
 	if inc == c.self {
-		return true
+		return c.log.saved >= c.commit
 	}
 	p := c.peer(inc)
 	return p != nil && !p.refused && !p.full && c.reachable(p) && (p.match >= c.commit || c.now.Before(p.caughtUpDeadline))
--- a/internal/replog/repair_test.go
+++ b/internal/replog/repair_test.go
@@ -307,3 +307,48 @@
 	b.core.step(s.local(b), m)
 	require.Zero(t, b.core.state.term)
 }
+
+// TestNewMemberThatLeadsEndsItsOwnRepair has the leader change between the
+// promotion of the new member and the removal of the old one.
+func TestNewMemberThatLeadsEndsItsOwnRepair(t *testing.T) {
+	s, a, _, c := newTrio(t)
+	s.wipe(c)
+	s.run(DefaultElection)
+	_, err := a.core.replace("c", "c")
+	require.NoError(t, err)
+	s.watch = func(*simHost) {
+		m, _ := a.core.members().get(c.incarnation)
+		if a.core.role == Leader && m.Role == Voter && m.Promoted <= a.core.commit {
+			a.core.becomeFollower(a.core.state.term, "")
+		}
+	}
+	s.runUntil("the promotion", time.Minute, func() bool { return c.core.members().isVoter(c.incarnation) })
+	s.watch = nil
+	require.Len(t, c.core.members(), 4)
+	s.lead("c")
+	s.runUntil("repaired", time.Minute, s.repaired)
+}
+
+// TestLearnerWhoseAdditionWasLostAnnouncesItself has the new replica receive
+// the entry that adds it, which its leader then loses in a crash.
+func TestLearnerWhoseAdditionWasLostAnnouncesItself(t *testing.T) {
+	s, a, _, c := newTrio(t)
+	s.wipe(c)
+	s.run(DefaultElection)
+	a.stall()
+	s.cutOff("a", "b")
+	_, err := a.core.replace("c", "c")
+	require.NoError(t, err)
+	s.runUntil("the addition", time.Second, func() bool { return c.core.formed() })
+	s.crash(a)
+	s.cut = make(map[[2]string]bool)
+	a.resume()
+	s.boot(a)
+	require.Less(t, a.core.log.lastIndex(), c.core.log.lastIndex())
+	s.runUntil("another leader", time.Minute, func() bool { l := s.leader(); return l != nil && l.core.ready() })
+	s.runUntil("repaired", time.Minute, func() bool {
+		s.repair()
+		return s.repaired()
+	})
+	s.settleDown()
+}
