The fragmentation report is what the scheduler measures; the operators' client is tried against real processes

knapctl report fragmentation showed nothing: client and control had different types for the answer. Found by reading; TestCommands now runs every listing.

--- a/cmd/knapctl/main_test.go
+++ b/cmd/knapctl/main_test.go
@@ -115,7 +115,7 @@
 		"members list":         client.MemberList{Members: []client.Member{{Name: "x1"}}},
 		"members promote x1":   client.MemberList{Members: []client.Member{{Name: "x1"}}},
 		"report guarantees":    client.GuaranteeReport{Lines: []client.GuaranteeLine{{Team: "x1"}}},
-		"report fragmentation": client.FragmentationReport{Lines: []client.FragmentationLine{{Region: "x1"}}},
+		"report fragmentation": client.FragmentationReport{Lines: []client.FragmentationLine{{Shape: "x1"}}},
 		"plan p":               model.Plan{ID: "p", State: model.PlanRefused, Refusals: []model.Refusal{{Field: "x1"}}},
 	}
 	for line, answer := range tests {
--- a/cmd/knapctl/report.go
+++ b/cmd/knapctl/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/spf13/cobra"
 
@@ -53,9 +54,9 @@
 }
 
 func fragmentationTable(r client.FragmentationReport) *table {
-	t := &table{head: []string{"REGION", "KIND", "ACCELS", "FREE", "WHOLE WORKERS", "ON A WORKER", "IN A RACK", "IN A DOMAIN"}}
+	t := &table{head: []string{"SHAPE", "FITS", "COULD FIT", "KEPT OUT BY LAYOUT"}}
 	for _, l := range r.Lines {
-		t.add(l.Region, l.Kind, l.Accels, l.Free, l.WholeWorkers, l.LargestWorker, l.LargestRack, l.LargestDomain)
+		t.add(l.Shape, l.Fits, l.Could, fmt.Sprintf("%.0f %%", 100*l.Kept))
 	}
 	return t
 }
--- a/internal/contrl/reports.go
+++ b/internal/contrl/reports.go
@@ -50,7 +50,12 @@
 	l := call.lead
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.sched.Fragmentation(), nil
+	f := l.sched.Fragmentation()
+	out := client.FragmentationReport{At: call.c.env.Clock.Now(), Free: f.Accels}
+	for _, g := range f.Gangs {
+		out.Lines = append(out.Lines, client.FragmentationLine{Shape: g.Shape, Fits: g.Fits, Could: g.Could, Kept: g.Share()})
+	}
+	return out, nil
 }
 
 // judge asks the scheduler about operations. The caller holds the lock.
--- a/internal/e2e/proc_test.go
+++ b/internal/e2e/proc_test.go
@@ -36,7 +36,7 @@
 		return "", err
 	}
 	args := append([]string{"build"}, buildFlags...)
-	out, err := exec.Command("go", append(args, "-o", dir+"/", "../../cmd/knapd", "../../cmd/knapfake")...).CombinedOutput()
+	out, err := exec.Command("go", append(args, "-o", dir+"/", "../../cmd/knapd", "../../cmd/knapctl", "../../cmd/knapfake")...).CombinedOutput()
 	if err != nil {
 		return "", fmt.Errorf("build: %w\n%s", err, out)
 	}
--- a/pkg/client/report.go
+++ b/pkg/client/report.go
@@ -24,21 +24,17 @@
 	Lines    []GuaranteeLine `json:"lines"`
 }
 
-// FragmentationLine is how scattered the free accelerators of one kind are in
-// one region.
+// FragmentationLine says how many gangs of a shape fit into what is free.
 type FragmentationLine struct {
-	Region        string `json:"region"`
-	Kind          string `json:"kind"`
-	Accels        int    `json:"accels"`
-	Free          int    `json:"free"`
-	WholeWorkers  int    `json:"wholeworkers"`  // workers with every accelerator free
-	LargestWorker int    `json:"largestworker"` // free accelerators on one worker, at most
-	LargestRack   int    `json:"largestrack"`   // in one rack, at most
-	LargestDomain int    `json:"largestdomain"` // in one failure domain, at most
+	Shape string  `json:"shape"`
+	Fits  int     `json:"fits"`
+	Could int     `json:"could"` // that the free accelerators would hold in another layout
+	Kept  float64 `json:"kept"`  // share that only the layout keeps out
 }
 
 // FragmentationReport is the answer of GET /v1/reports/fragmentation.
 type FragmentationReport struct {
 	At    time.Time           `json:"at"`
+	Free  int                 `json:"free"` // accelerators
 	Lines []FragmentationLine `json:"lines"`
 }
