--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -50,8 +50,8 @@
 	}
 	_ = st.SetReadDeadline(time.Time{})
 	a := &agent{name: st.Peer().Name, sess: sess, wake: make(chan struct{}, 1), teams: map[string]int{}}
-	e.desk.join(a)
-	defer e.desk.leave(a)
+	e.disp.join(a)
+	defer e.disp.leave(a)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := context.AfterFunc(ctx, st.Reset)
@@ -78,13 +78,13 @@
 		case *wire.AgentEvent_Announce:
 			e.env.Log.Info("agent announced", zap.String("agent", a.name), zap.String("service", x.Announce.Service),
 				zap.String("server", x.Announce.Server), zap.String("state", x.Announce.State))
-			e.desk.announced(a, x.Announce)
+			e.disp.announced(a, x.Announce)
 		case *wire.AgentEvent_Grant:
-			e.desk.granted(a, x.Grant.Credits)
+			e.disp.granted(a, x.Grant.Credits)
 		case *wire.AgentEvent_Revoke:
-			e.desk.revoked(a, x.Revoke.Credits)
+			e.disp.revoked(a, x.Revoke.Credits)
 		case *wire.AgentEvent_Elsewhere:
-			e.desk.elsewhere(a, x.Elsewhere.Team, int(x.Elsewhere.Running))
+			e.disp.elsewhere(a, x.Elsewhere.Team, int(x.Elsewhere.Running))
 		}
 	}
 }
@@ -98,7 +98,7 @@
 			return nil
 		case <-a.wake:
 		}
-		d := e.desk.demandFor(a)
+		d := e.disp.demandFor(a)
 		if d == last {
 			continue
 		}
@@ -123,7 +123,7 @@
 }
 
 // join adds an agent. One that connects anew takes the place of its old self.
-func (d *desk) join(a *agent) {
+func (d *dispatcher) join(a *agent) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if old := d.agents[a.name]; old != nil {
@@ -132,7 +132,7 @@
 	d.agents[a.name] = a
 }
 
-func (d *desk) leave(a *agent) {
+func (d *dispatcher) leave(a *agent) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.agents[a.name] == a {
@@ -141,7 +141,7 @@
 }
 
 // elsewhere notes what a team uses of an agent through other entries.
-func (d *desk) elsewhere(a *agent, team string, running int) {
+func (d *dispatcher) elsewhere(a *agent, team string, running int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.agents[a.name] != a {
@@ -155,12 +155,12 @@
 }
 
 // shift changes the slots that a team uses through other entries.
-func (d *desk) shift(team string, n int) {
+func (d *dispatcher) shift(team string, n int) {
 	d.teams[team] += n
 	d.queue.SetElsewhere(team, d.teams[team])
 }
 
-func (d *desk) drop(a *agent) {
+func (d *dispatcher) drop(a *agent) {
 	delete(d.agents, a.name)
 	for team, n := range a.teams {
 		d.shift(team, -n)
@@ -171,7 +171,7 @@
 	d.fleet()
 }
 
-func (d *desk) announced(a *agent, ann *wire.Announce) {
+func (d *dispatcher) announced(a *agent, ann *wire.Announce) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.agents[a.name] != a {
@@ -194,16 +194,16 @@
 	a.poke()
 }
 
-func (d *desk) granted(a *agent, credits []*wire.Credit) {
+func (d *dispatcher) granted(a *agent, credits []*wire.Credit) {
 	d.credits(a, credits, trace.Grant, (*route.Picker).Grant)
 }
 
-func (d *desk) revoked(a *agent, credits []*wire.Credit) {
+func (d *dispatcher) revoked(a *agent, credits []*wire.Credit) {
 	d.credits(a, credits, trace.Revoke, (*route.Picker).Revoke)
 }
 
 // credits takes an agent's credits in, or back.
-func (d *desk) credits(a *agent, credits []*wire.Credit, kind trace.Kind, do func(*route.Picker, route.Credit) bool) {
+func (d *dispatcher) credits(a *agent, credits []*wire.Credit, kind trace.Kind, do func(*route.Picker, route.Credit) bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.agents[a.name] != a || a.service == "" {
@@ -225,7 +225,7 @@
 	return route.Credit{Server: a.name, ID: c.Id, Class: class}
 }
 
-func (d *desk) demandFor(a *agent) admit.Demand {
+func (d *dispatcher) demandFor(a *agent) admit.Demand {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if a.service == "" {
@@ -244,7 +244,7 @@
 	Addr    string `json:"addr"`
 }
 
-func (d *desk) agentList() []agentDump {
+func (d *dispatcher) agentList() []agentDump {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	out := make([]agentDump, 0, len(d.agents))
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -15,7 +15,7 @@
 )
 
 // finish passes the result of the last attempt on to the caller.
-func (e *Entry) finish(w http.ResponseWriter, o *order, res result) {
+func (e *Entry) finish(w http.ResponseWriter, o *callRequest, res result) {
 	e.count(res.outcome)
 	e.rec.ended(o, res)
 	e.env.Log.Debug("request ended", zap.String("request", o.ID), zap.String("team", o.Team),
@@ -43,7 +43,7 @@
 
 var errNoTaker = errors.New("no backend server took the request")
 
-func writeHead(w http.ResponseWriter, o *order, res result) {
+func writeHead(w http.ResponseWriter, o *callRequest, res result) {
 	h := w.Header()
 	for _, x := range backHeaders(res.headers) {
 		h.Add(x.Name, string(x.Value))
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -32,7 +32,7 @@
 		e.refuse(w, r, &fault{status: http.StatusUnauthorized, code: client.CodeDenied, field: "Authorization", text: "no team has this key"})
 		return
 	}
-	o, err := e.readOrder(w, r, team, now)
+	o, err := e.readCall(w, r, team, now)
 	if err != nil {
 		e.refuse(w, r, err)
 		return
@@ -62,9 +62,9 @@
 }
 
 // serve queues the request, sends it against a credit and passes the answer on.
-func (e *Entry) serve(ctx context.Context, w http.ResponseWriter, o *order) {
-	f := &flight{order: o, start: make(chan start, 1)}
-	if err := e.desk.push(f); err != nil {
+func (e *Entry) serve(ctx context.Context, w http.ResponseWriter, o *callRequest) {
+	f := &pending{req: o, start: make(chan start, 1)}
+	if err := e.disp.push(f); err != nil {
 		e.settleNotRun(o, err)
 		e.refuse(w, nil, e.refusal(err, o))
 		return
@@ -102,48 +102,48 @@
 }
 
 // again queues a request once more where that can't make it run twice.
-func (e *Entry) again(f *flight, st start, res result) bool {
+func (e *Entry) again(f *pending, st start, res result) bool {
 	if res.outcome == client.OutcomeNotRun {
-		return e.desk.again(f, st.agent.name)
+		return e.disp.again(f, st.agent.name)
 	}
-	if !f.order.Idempotent || !e.desk.retry() {
+	if !f.req.Idempotent || !e.disp.retry() {
 		return false
 	}
-	return e.desk.push(f) == nil
+	return e.disp.push(f) == nil
 }
 
 // wait returns once the request has a credit.
-func (e *Entry) wait(ctx context.Context, f *flight) (start, error) {
+func (e *Entry) wait(ctx context.Context, f *pending) (start, error) {
 	select {
 	case st := <-f.start:
 		return e.begin(f, st)
 	case <-ctx.Done():
 	}
-	if e.desk.cancel(f) {
-		return start{}, late(f.order, "the deadline passed or the caller went away while the request was queued")
+	if e.disp.cancel(f) {
+		return start{}, late(f.req, "the deadline passed or the caller went away while the request was queued")
 	}
 	// The credit came at the same moment.
 	st, err := e.begin(f, <-f.start)
 	if err == nil {
-		e.desk.abandon(f, st)
-		err = late(f.order, "the deadline passed or the caller went away while the request was queued")
+		e.disp.abandon(f, st)
+		err = late(f.req, "the deadline passed or the caller went away while the request was queued")
 	}
 	return start{}, err
 }
 
-func (e *Entry) begin(f *flight, st start) (start, error) {
+func (e *Entry) begin(f *pending, st start) (start, error) {
 	if st.expired {
-		return st, late(f.order, "the request can't finish before its deadline any more")
+		return st, late(f.req, "the request can't finish before its deadline any more")
 	}
 	return st, nil
 }
 
-func late(o *order, text string) error {
+func late(o *callRequest, text string) error {
 	return &fault{status: http.StatusGatewayTimeout, code: client.CodeDeadline, field: "deadline", text: text + " (request " + o.ID + ")"}
 }
 
 // refusal turns a refusal by the queue into an answer for the caller.
-func (e *Entry) refusal(err error, o *order) error {
+func (e *Entry) refusal(err error, o *callRequest) error {
 	var ref *admit.Refusal
 	if !errors.As(err, &ref) {
 		return err
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -24,7 +24,7 @@
 
 // serveClaimed serves a non-idempotent request: its claim is committed before
 // it is queued, so that it runs at most once whichever entry a resend reaches.
-func (e *Entry) serveClaimed(ctx context.Context, w http.ResponseWriter, o *order) {
+func (e *Entry) serveClaimed(ctx context.Context, w http.ResponseWriter, o *callRequest) {
 	if err := checkKey(o); err != nil {
 		e.refuse(w, nil, err)
 		return
@@ -57,13 +57,13 @@
 
 // serveOwned serves a request whose claim is ours. It goes on when the caller
 // goes away, since the answer is owed to the caller's next resend.
-func (e *Entry) serveOwned(ctx context.Context, w http.ResponseWriter, o *order) {
+func (e *Entry) serveOwned(ctx context.Context, w http.ResponseWriter, o *callRequest) {
 	own, cancel := context.WithDeadline(context.WithoutCancel(ctx), o.deadline)
 	defer cancel()
 	e.serve(own, w, o)
 }
 
-func checkKey(o *order) error {
+func checkKey(o *callRequest) error {
 	switch {
 	case o.Key == "":
 		return badField(client.HeaderKey, "missing on a request that is not idempotent")
@@ -73,7 +73,7 @@
 	return nil
 }
 
-func (e *Entry) claim(ctx context.Context, o *order) (*wire.ClaimReply, error) {
+func (e *Entry) claim(ctx context.Context, o *callRequest) (*wire.ClaimReply, error) {
 	if o.hash == nil {
 		o.hash = bodyHash(o)
 	}
@@ -87,7 +87,7 @@
 }
 
 // bodyHash covers all that makes a resend the same request.
-func bodyHash(o *order) []byte {
+func bodyHash(o *callRequest) []byte {
 	h := sha256.New()
 	h.Write([]byte(o.verb + " " + o.path + "\n"))
 	h.Write(o.body)
@@ -95,7 +95,7 @@
 }
 
 // claimFault says why a claim was not granted. Without a grant nothing runs.
-func (e *Entry) claimFault(err error, o *order) error {
+func (e *Entry) claimFault(err error, o *callRequest) error {
 	var re *wire.RemoteError
 	if errors.As(err, &re) && re.Code == wire.CodeConflict {
 		return &fault{status: http.StatusConflict, code: client.CodeConflict, field: client.HeaderKey, text: re.Text}
@@ -109,7 +109,7 @@
 
 // settleNotRun frees the claim of a request that was never handed out, so that
 // a resend may run.
-func (e *Entry) settleNotRun(o *order, cause error) {
+func (e *Entry) settleNotRun(o *callRequest, cause error) {
 	if o.claim == 0 {
 		return
 	}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -24,34 +24,34 @@
 )
 
 // dispatch sends the request to the agent of its credit and reads the answer.
-func (e *Entry) dispatch(ctx context.Context, w http.ResponseWriter, f *flight, s start) result {
+func (e *Entry) dispatch(ctx context.Context, w http.ResponseWriter, f *pending, s start) result {
 	began := e.env.Clock.Now()
-	stop := e.watchLength(f.order)
-	res := e.exchange(ctx, w, f.order, s)
+	stop := e.watchLength(f.req)
+	res := e.exchange(ctx, w, f.req, s)
 	stop()
 	if res.outcome == client.OutcomeNotRun && res.again {
 		return res
 	}
 	took := e.env.Clock.Now().Sub(began)
 	healthy := res.outcome == client.OutcomeAnswer && res.status < http.StatusInternalServerError
-	e.desk.done(f, s.agent.name, took, admit.Outcome(res.outcome), healthy || ctx.Err() != nil)
+	e.disp.done(f, s.agent.name, took, admit.Outcome(res.outcome), healthy || ctx.Err() != nil)
 	return res
 }
 
 // watchLength accounts a short request as long once it outlives its class.
-func (e *Entry) watchLength(o *order) (stop func()) {
+func (e *Entry) watchLength(o *callRequest) (stop func()) {
 	svc, ok := e.conf.Config().Service(o.Service)
 	if !ok || svc.ShortMs <= 0 || o.Class != admit.Short {
 		return func() {}
 	}
-	t := time.AfterFunc(time.Duration(svc.ShortMs)*time.Millisecond, func() { e.desk.outlive(o.ID) })
+	t := time.AfterFunc(time.Duration(svc.ShortMs)*time.Millisecond, func() { e.disp.outlive(o.ID) })
 	return func() { t.Stop() }
 }
 
 // exchange makes one attempt. Until the whole request was handed over, a
 // failure is "not run": the agent starts nothing before it has read it whole,
 // and the credit of a stream that was lost is used up or dropped.
-func (e *Entry) exchange(ctx context.Context, w http.ResponseWriter, o *order, s start) result {
+func (e *Entry) exchange(ctx context.Context, w http.ResponseWriter, o *callRequest, s start) result {
 	st, err := s.agent.sess.Stream(ctx)
 	if err != nil {
 		return result{outcome: client.OutcomeNotRun, code: client.CodeLost, again: true}
@@ -83,7 +83,7 @@
 
 // send hands the request over. handed reports whether its last part was
 // written, after which it may run.
-func (e *Entry) send(ctx context.Context, st *wire.Stream, o *order, s start) (handed bool, err error) {
+func (e *Entry) send(ctx context.Context, st *wire.Stream, o *callRequest, s start) (handed bool, err error) {
 	dl, _ := ctx.Deadline()
 	work := &wire.Work{
 		Id: o.ID, Team: o.Team, Service: o.Service, Credit: s.credit.ID, Short: o.Class == admit.Short,
@@ -108,7 +108,7 @@
 }
 
 // receive takes the agent's answer in.
-func (e *Entry) receive(w http.ResponseWriter, o *order, st *wire.Stream, ans *wire.Answer) result {
+func (e *Entry) receive(w http.ResponseWriter, o *callRequest, st *wire.Stream, ans *wire.Answer) result {
 	switch client.Outcome(ans.Outcome) {
 	case client.OutcomeNotRun:
 		return result{outcome: client.OutcomeNotRun, code: client.Code(ans.Code), again: true}
@@ -146,7 +146,7 @@
 
 // stream passes a large answer on while it arrives. When it is cut, the
 // caller's connection is cut as well, so that it can't pass for whole.
-func (e *Entry) stream(w http.ResponseWriter, o *order, st *wire.Stream, res result) result {
+func (e *Entry) stream(w http.ResponseWriter, o *callRequest, st *wire.Stream, res result) result {
 	res.passed = true
 	writeHead(w, o, res)
 	data := res.body
--- a/internal/entry/desk.go
+++ b/internal/entry/dispatcher.go
@@ -11,13 +11,13 @@
 	"github.com/knapweedlug/knapweedlug/internal/trace"
 )
 
-// flight is one request between its arrival and its answer.
-type flight struct {
-	order *order
+// pending is one request between its arrival and its answer.
+type pending struct {
+	req   *callRequest
 	start chan start // receives once the request has a credit, or has expired
 }
 
-// start tells a flight what to do next.
+// start tells a pending request what to do next.
 type start struct {
 	credit  route.Credit
 	agent   *agent
@@ -25,9 +25,9 @@
 	expired bool
 }
 
-// desk matches what waits with the credits that are held. Every decision is
-// made by admit and route; the desk holds the lock.
-type desk struct {
+// dispatcher matches what waits with the credits that are held. Every decision is
+// made by admit and route; the dispatcher holds the lock.
+type dispatcher struct {
 	clock kern.Clock
 	rec   *recorder
 
@@ -35,27 +35,27 @@
 	queue   *admit.Queue
 	pickers map[string]*route.Picker // by service
 	agents  map[string]*agent        // by agent name
-	flights map[string]*flight       // queued, by request id
+	queued  map[string]*pending      // queued, by request id
 	slots   map[string]int           // by service
 	teams   map[string]int           // slots that teams use through other entries
 	budget  admit.Budget
 }
 
-func newDesk(clock kern.Clock, opt admit.Options, rec *recorder) *desk {
-	return &desk{
+func newDispatcher(clock kern.Clock, opt admit.Options, rec *recorder) *dispatcher {
+	return &dispatcher{
 		clock:   clock,
 		rec:     rec,
 		queue:   admit.New(opt),
 		pickers: map[string]*route.Picker{},
 		agents:  map[string]*agent{},
-		flights: map[string]*flight{},
+		queued:  map[string]*pending{},
 		slots:   map[string]int{},
 		teams:   map[string]int{},
 		budget:  admit.NewBudget(retryShare, retryBurst),
 	}
 }
 
-func (d *desk) configure(cfg conf.Config) {
+func (d *dispatcher) configure(cfg conf.Config) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.queue.SetTeams(cfg.Teams())
@@ -68,7 +68,7 @@
 
 // fleet tells the queue how many slots each service has, and how many entries
 // share them.
-func (d *desk) fleet() {
+func (d *dispatcher) fleet() {
 	clear(d.slots)
 	entries := map[string]int{}
 	for _, a := range d.agents {
@@ -80,7 +80,7 @@
 	}
 }
 
-func (d *desk) picker(service string) *route.Picker {
+func (d *dispatcher) picker(service string) *route.Picker {
 	p := d.pickers[service]
 	if p == nil {
 		p = route.NewPicker()
@@ -90,65 +90,65 @@
 }
 
 // push queues a request, or refuses it.
-func (d *desk) push(f *flight) error {
+func (d *dispatcher) push(f *pending) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.rec.arrived(f.order)
-	if err := d.queue.Push(f.order.Request, d.clock.Now()); err != nil {
-		d.rec.write(trace.Event{Kind: trace.Refuse, ID: f.order.ID, Reason: err.Error()})
+	d.rec.arrived(f.req)
+	if err := d.queue.Push(f.req.Request, d.clock.Now()); err != nil {
+		d.rec.write(trace.Event{Kind: trace.Refuse, ID: f.req.ID, Reason: err.Error()})
 		return err
 	}
-	d.flights[f.order.ID] = f
-	d.match(f.order.Service)
+	d.queued[f.req.ID] = f
+	d.match(f.req.Service)
 	return nil
 }
 
 // again queues a request once more that provably has not run.
-func (d *desk) again(f *flight, server string) bool {
+func (d *dispatcher) again(f *pending, server string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.rec.write(trace.Event{Kind: trace.Return, ID: f.order.ID, Server: server})
-	d.picker(f.order.Service).Return(server)
-	d.flights[f.order.ID] = f
-	if !d.queue.Requeue(f.order.ID, d.clock.Now()) {
-		delete(d.flights, f.order.ID)
+	d.rec.write(trace.Event{Kind: trace.Return, ID: f.req.ID, Server: server})
+	d.picker(f.req.Service).Return(server)
+	d.queued[f.req.ID] = f
+	if !d.queue.Requeue(f.req.ID, d.clock.Now()) {
+		delete(d.queued, f.req.ID)
 		return false
 	}
-	d.match(f.order.Service)
+	d.match(f.req.Service)
 	return true
 }
 
 // abandon gives back the credit of a request that will not be sent.
-func (d *desk) abandon(f *flight, s start) {
+func (d *dispatcher) abandon(f *pending, s start) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	p := d.picker(f.order.Service)
+	p := d.picker(f.req.Service)
 	p.Return(s.credit.Server)
 	if d.agents[s.credit.Server] == s.agent {
 		p.Grant(s.credit)
 		d.rec.write(trace.Event{Kind: trace.Grant, Server: s.credit.Server, Slot: s.credit.ID})
 	}
-	d.rec.write(trace.Event{Kind: trace.Cancel, ID: f.order.ID})
-	d.queue.Done(f.order.Request, 0, admit.NotRun, d.clock.Now())
-	d.match(f.order.Service)
+	d.rec.write(trace.Event{Kind: trace.Cancel, ID: f.req.ID})
+	d.queue.Done(f.req.Request, 0, admit.NotRun, d.clock.Now())
+	d.match(f.req.Service)
 }
 
 // cancel takes a request back. It reports false when the request has been
 // given a credit or has ended.
-func (d *desk) cancel(f *flight) bool {
+func (d *dispatcher) cancel(f *pending) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delete(d.flights, f.order.ID)
-	ok := d.queue.Cancel(f.order.ID, d.clock.Now())
+	delete(d.queued, f.req.ID)
+	ok := d.queue.Cancel(f.req.ID, d.clock.Now())
 	if ok {
-		d.rec.write(trace.Event{Kind: trace.Cancel, ID: f.order.ID})
-		d.tellDemand(f.order.Service)
+		d.rec.write(trace.Event{Kind: trace.Cancel, ID: f.req.ID})
+		d.tellDemand(f.req.Service)
 	}
 	return ok
 }
 
 // match gives credits to requests while there are both.
-func (d *desk) match(service string) {
+func (d *dispatcher) match(service string) {
 	now := d.clock.Now()
 	p := d.picker(service)
 	for {
@@ -165,11 +165,11 @@
 	d.tellDemand(service)
 }
 
-func (d *desk) give(p *route.Picker, r admit.Request, now time.Time) {
+func (d *dispatcher) give(p *route.Picker, r admit.Request, now time.Time) {
 	c, ok := p.Pick(r.Class, now)
-	f := d.flights[r.ID]
+	f := d.queued[r.ID]
 	a := d.agents[c.Server]
-	delete(d.flights, r.ID)
+	delete(d.queued, r.ID)
 	if !ok || f == nil || a == nil {
 		d.queue.Done(r, 0, admit.NotRun, now)
 		if f != nil {
@@ -177,21 +177,21 @@
 		}
 		return
 	}
-	f.order.Class = r.Class
+	f.req.Class = r.Class
 	d.rec.write(trace.Event{Kind: trace.Send, ID: r.ID, Server: c.Server, Slot: c.ID})
 	f.start <- start{credit: c, agent: a, short: c.Class == admit.ShortSlot}
 }
 
 // expire ends the requests that can't meet their deadline any more.
-func (d *desk) expire() {
+func (d *dispatcher) expire() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.flights) == 0 {
+	if len(d.queued) == 0 {
 		return
 	}
 	for _, r := range d.queue.Expire(d.clock.Now()) {
-		if f := d.flights[r.ID]; f != nil {
-			delete(d.flights, r.ID)
+		if f := d.queued[r.ID]; f != nil {
+			delete(d.queued, r.ID)
 			d.rec.write(trace.Event{Kind: trace.Refuse, ID: r.ID, Reason: "expired"})
 			f.start <- start{expired: true}
 		}
@@ -199,21 +199,21 @@
 }
 
 // done ends a request that had a credit.
-func (d *desk) done(f *flight, server string, took time.Duration, out admit.Outcome, ok bool) {
+func (d *dispatcher) done(f *pending, server string, took time.Duration, out admit.Outcome, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
-	res := route.Result{Expected: d.queue.Expected(f.order.Request), Took: took, OK: ok}
-	mean := d.picker(f.order.Service).Done(server, res, now)
-	d.queue.Done(f.order.Request, mean, out, now)
+	res := route.Result{Expected: d.queue.Expected(f.req.Request), Took: took, OK: ok}
+	mean := d.picker(f.req.Service).Done(server, res, now)
+	d.queue.Done(f.req.Request, mean, out, now)
 	if ok {
 		d.budget = d.budget.Earned()
 	}
-	d.match(f.order.Service)
+	d.match(f.req.Service)
 }
 
 // retry spends from the retry budget. It reports whether a retry is allowed.
-func (d *desk) retry() bool {
+func (d *dispatcher) retry() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	b, ok := d.budget.Spent()
@@ -221,13 +221,13 @@
 	return ok
 }
 
-func (d *desk) outlive(id string) {
+func (d *dispatcher) outlive(id string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.queue.Outlive(id)
 }
 
-func (d *desk) tellDemand(service string) {
+func (d *dispatcher) tellDemand(service string) {
 	for _, a := range d.agents {
 		if a.service == service {
 			a.poke()
@@ -235,18 +235,18 @@
 	}
 }
 
-// deskDump is the state of the desk for a dump.
-type deskDump struct {
+// dispatcherDump is the state of the dispatcher for a dump.
+type dispatcherDump struct {
 	Queued  int                     `json:"queued"`
 	Demand  map[string]admit.Demand `json:"demand"`
 	Running map[string]int          `json:"running"` // by team
 	Slots   map[string]int          `json:"slots"`
 }
 
-func (d *desk) dump(cfg conf.Config) deskDump {
+func (d *dispatcher) dump(cfg conf.Config) dispatcherDump {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := deskDump{Queued: d.queue.Len(), Demand: map[string]admit.Demand{}, Running: map[string]int{}, Slots: map[string]int{}}
+	out := dispatcherDump{Queued: d.queue.Len(), Demand: map[string]admit.Demand{}, Running: map[string]int{}, Slots: map[string]int{}}
 	for _, s := range cfg.Services() {
 		out.Demand[s.Name] = d.queue.Demand(s.Name)
 		out.Slots[s.Name] = d.slots[s.Name]
@@ -258,7 +258,7 @@
 }
 
 // slotCount returns the slots of all services.
-func (d *desk) slotCount() int {
+func (d *dispatcher) slotCount() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	n := 0
@@ -268,8 +268,8 @@
 	return n
 }
 
-// queued returns the number of requests that wait.
-func (d *desk) queued() int {
+// depth returns the number of requests that wait.
+func (d *dispatcher) depth() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.queue.Len()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -44,7 +44,7 @@
 	env    *kern.Env
 	cfg    *Settings
 	conf   *conf.Holder
-	desk   *desk
+	disp   *dispatcher
 	poller *poll.Poller
 	rec    *recorder
 	meters meters
@@ -83,7 +83,7 @@
 		sessions: map[string]*wire.Session{},
 		keys:     newCallers(conf.Config{}),
 	}
-	e.desk = newDesk(env.Clock, admit.Options{MaxQueued: cfg.Queued}.Defaults(), e.rec)
+	e.disp = newDispatcher(env.Clock, admit.Options{MaxQueued: cfg.Queued}.Defaults(), e.rec)
 	e.meters = newMeters(env.Metrics)
 	id := wire.NewIdentity(env.Node, RoleName, env.Keys, uuid.NewString())
 	mux := wire.NewMux(env.Log)
@@ -205,7 +205,7 @@
 }
 
 func (e *Entry) watchDeadlines(ctx context.Context) error {
-	return kern.Every(ctx, expireInterval, e.desk.expire)
+	return kern.Every(ctx, expireInterval, e.disp.expire)
 }
 
 // Drain implements kern.Runner. The health check fails first, so that the
@@ -249,21 +249,21 @@
 		return err
 	}
 	if cfg := e.conf.Config(); cfg.Revision() != before {
-		e.desk.configure(cfg)
-		e.rec.begin(e.env.Node.Cluster, cfg, e.desk.slotCount())
+		e.disp.configure(cfg)
+		e.rec.begin(e.env.Node.Cluster, cfg, e.disp.slotCount())
 	}
 	return nil
 }
 
 // dump is the entry's whole state.
 type dump struct {
-	Revision uint64      `json:"revision"`
-	Fresh    bool        `json:"fresh"`
-	Until    time.Time   `json:"until"`
-	Draining bool        `json:"draining"`
-	Running  int64       `json:"running"`
-	Desk     deskDump    `json:"desk"`
-	Agents   []agentDump `json:"agents"`
+	Revision uint64         `json:"revision"`
+	Fresh    bool           `json:"fresh"`
+	Until    time.Time      `json:"until"`
+	Draining bool           `json:"draining"`
+	Running  int64          `json:"running"`
+	Dispatch dispatcherDump `json:"dispatch"`
+	Agents   []agentDump    `json:"agents"`
 }
 
 // Dump implements kern.Runner.
@@ -274,7 +274,7 @@
 		Until:    e.conf.Deadline(),
 		Draining: e.draining.Load(),
 		Running:  e.running.Load(),
-		Desk:     e.desk.dump(e.conf.Config()),
-		Agents:   e.desk.agentList(),
+		Dispatch: e.disp.dump(e.conf.Config()),
+		Agents:   e.disp.agentList(),
 	}
 }
--- a/internal/entry/meters.go
+++ b/internal/entry/meters.go
@@ -48,9 +48,9 @@
 	defer e.rec.flush()
 	return kern.Every(ctx, meterInterval, func() {
 		e.rec.flush()
-		e.meters.queued.Update(float64(e.desk.queued()))
+		e.meters.queued.Update(float64(e.disp.depth()))
 		e.meters.running.Update(float64(e.running.Load()))
-		e.meters.agents.Update(float64(len(e.desk.agentList())))
+		e.meters.agents.Update(float64(len(e.disp.agentList())))
 		e.meters.revision.Update(float64(e.conf.Revision()))
 		e.meters.fresh.Update(kern.Gauge(e.conf.Fresh(e.env.Clock.Now())))
 	})
--- a/internal/entry/record.go
+++ b/internal/entry/record.go
@@ -128,7 +128,7 @@
 }
 
 // arrived notes a caller's request.
-func (r *recorder) arrived(o *order) {
+func (r *recorder) arrived(o *callRequest) {
 	if r == nil {
 		return
 	}
@@ -139,7 +139,7 @@
 }
 
 // ended notes what a caller was told.
-func (r *recorder) ended(o *order, res result) {
+func (r *recorder) ended(o *callRequest, res result) {
 	if r == nil {
 		return
 	}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -25,8 +25,8 @@
 // callPrefix is the path below which callers reach services.
 const callPrefix = "/v1/call/"
 
-// order is one caller's request, read whole and checked.
-type order struct {
+// callRequest is one caller's request, read whole and checked.
+type callRequest struct {
 	admit.Request
 	path     string
 	verb     string
@@ -54,10 +54,10 @@
 	return &fault{status: http.StatusBadRequest, code: client.CodeBad, field: field, text: text}
 }
 
-// readOrder reads the caller's request whole. A body that is cut short or too
+// readCall reads the caller's request whole. A body that is cut short or too
 // large is refused here, so that no part of it can run.
-func (e *Entry) readOrder(w http.ResponseWriter, r *http.Request, team string, now time.Time) (*order, error) {
-	o := &order{verb: r.Method, attempt: uuid.NewString()}
+func (e *Entry) readCall(w http.ResponseWriter, r *http.Request, team string, now time.Time) (*callRequest, error) {
+	o := &callRequest{verb: r.Method, attempt: uuid.NewString()}
 	o.Team = team
 	o.ID = r.Header.Get(client.HeaderRequest)
 	if o.ID == "" {
@@ -94,7 +94,7 @@
 	return time.Duration(svc.LimitMs) * time.Millisecond
 }
 
-func (o *order) readHeaders(r *http.Request, now time.Time) error {
+func (o *callRequest) readHeaders(r *http.Request, now time.Time) error {
 	o.Urgency = model.Urgency(r.Header.Get(client.HeaderUrgency))
 	o.Declared = admit.Class(r.Header.Get(client.HeaderClass))
 	o.Key = r.Header.Get(client.HeaderKey)
@@ -160,7 +160,7 @@
 
 // readBody reads the body whole, within the service's limit and the entry's
 // buffer.
-func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, o *order, limit int64) error {
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, o *callRequest, limit int64) error {
 	if limit <= 0 {
 		limit = defaultBodyMax
 	}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -32,7 +32,7 @@
 	backfilled  bool         // started ahead of a gang that waits
 	lost        bool         // has lost a member, so it stops in any case
 	failing     bool         // a decision to fail it is on its way
-	excused     []string     // workers whose failure was the worker's own
+	uncharged   []string     // workers whose failure was the worker's own
 	moved       int          // times that it was stopped to make room
 	placedAt    time.Time
 	key         time.Time // order in its team's queue
@@ -52,7 +52,7 @@
 // avoids reports whether the job has failed on the worker and the worker
 // hasn't been found to be the cause.
 func (j *job) avoids(worker string) bool {
-	return slices.Contains(j.FailedOn, worker) && !slices.Contains(j.excused, worker)
+	return slices.Contains(j.FailedOn, worker) && !slices.Contains(j.uncharged, worker)
 }
 
 func (j *job) on(worker string) place.Need {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -305,7 +305,7 @@
 	}
 	if m.State == model.JobDone {
 		s.learn(m, j.cells)
-		s.praise(j.cells)
+		s.clearFailures(j.cells)
 	}
 	s.DropJob(m.ID)
 }
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -124,8 +124,8 @@
 	}
 }
 
-// praise clears the failures of workers on which a job has ended well.
-func (s *Sched) praise(cells []place.Cell) {
+// clearFailures clears the failures of workers on which a job has ended well.
+func (s *Sched) clearFailures(cells []place.Cell) {
 	for _, c := range cells {
 		if w, ok := s.workers[c.Worker]; ok {
 			clear(w.blamedBy)
@@ -144,7 +144,7 @@
 		w.probeAt = now.Add(w.wait)
 		w.probing = false
 		s.sick[w.model.Name] = true
-		s.excuse(w)
+		s.withdrawCharges(w)
 	}
 	if was == model.WorkerQuarantine {
 		delete(s.sick, w.model.Name)
@@ -155,11 +155,11 @@
 	}
 }
 
-// excuse strikes the worker from the records of the jobs that failed there.
-func (s *Sched) excuse(w *worker) {
+// withdrawCharges strikes the worker from the records of the jobs that failed there.
+func (s *Sched) withdrawCharges(w *worker) {
 	for id := range w.blamedBy {
 		if j, ok := s.jobs[id]; ok {
-			j.excused = append(j.excused, w.model.Name)
+			j.uncharged = append(j.uncharged, w.model.Name)
 		}
 	}
 }
