--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -85,7 +85,7 @@
 		if res.mayHaveRun() {
 			lost = res
 		}
-		if !res.again || attempt >= maxAttempts || !e.again(f, st, res) {
+		if !res.again || !e.again(f, st, res, attempt < maxAttempts) {
 			e.finish(w, o, truth(res, lost))
 			return
 		}
@@ -102,11 +102,11 @@
 }
 
 // again queues a request once more where that can't make it run twice.
-func (e *Entry) again(f *pending, st start, res result) bool {
+func (e *Entry) again(f *pending, st start, res result, allowed bool) bool {
 	if res.outcome == client.OutcomeNotRun {
-		return e.disp.again(f, st.agent.name)
+		return e.disp.returned(f, st.agent.name, allowed)
 	}
-	if !f.req.Idempotent || !e.disp.retry() {
+	if !allowed || !f.req.Idempotent || !e.disp.retry() {
 		return false
 	}
 	return e.disp.push(f) == nil
--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -103,14 +103,20 @@
 	return nil
 }
 
-// again queues a request once more that provably has not run.
-func (d *dispatcher) again(f *pending, server string) bool {
+// returned takes in that a request provably has not run, and queues it once
+// more if that is allowed.
+func (d *dispatcher) returned(f *pending, server string, again bool) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := d.clock.Now()
 	d.rec.write(trace.Event{Kind: trace.Return, ID: f.req.ID, Server: server})
 	d.picker(f.req.Service).Return(server)
+	if !again {
+		d.queue.Done(f.req.Request, 0, admit.NotRun, now)
+		return false
+	}
 	d.queued[f.req.ID] = f
-	if !d.queue.Requeue(f.req.ID, d.clock.Now()) {
+	if !d.queue.Requeue(f.req.ID, now) {
 		delete(d.queued, f.req.ID)
 		return false
 	}
