--- a/internal/jobctl/control_test.go
+++ b/internal/jobctl/control_test.go
@@ -198,8 +198,12 @@
 
 	second := s.attend("h1")
 	require.Equal(t, string(jobs.Accepted), s.call(caller, jobs.CallSubmit, "/q/"+idB, oneTask()).Outcome)
+	o := &wire.HostOrders{}
+	require.NoError(t, second.st.Recv(o))
+	require.NotZero(t, o.Term, "an agent that has just started learns the term before it reports: its worker obeys no older one")
+	require.Empty(t, o.Starts)
 	_ = second.st.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
-	require.Error(t, second.st.Recv(&wire.HostOrders{}), "an order before the first report")
+	require.Error(t, second.st.Recv(o), "an order before the first report")
 	_ = second.st.SetReadDeadline(time.Now().Add(patience))
 	second.report(nil)
 	got := map[string]bool{}
--- a/internal/jobctl/hosts.go
+++ b/internal/jobctl/hosts.go
@@ -114,6 +114,8 @@
 	// before it has reported on this stream.
 	h.out, h.rep, h.worker = out, nil, jobs.Worker{}
 	h.forget()
+	// Its worker shows itself only under the term of the latest orders.
+	l.send(h, &wire.HostOrders{})
 }
 
 // forget drops what was ordered on an earlier stream or to an earlier worker.
