--- a/internal/allot/gang.go
+++ b/internal/allot/gang.go
@@ -16,6 +16,8 @@
 	stops  []Stop
 	lost   time.Duration // work thrown away by the stops
 
+	late      bool  // it doesn't end the gang in time
+	speed     int   // sum of the graded speeds of the workers used, by task
 	idleRacks int   // idle racks that it makes use of
 	idleHosts int   // the same of hosts
 	left      int64 // accelerators that stay free on the hosts used
@@ -82,7 +84,8 @@
 }
 
 // worthWaiting tells whether a gang that would run over racks, or far from its
-// data, ends sooner if it waits for a better place.
+// data, ends sooner if it waits for a better place. The time that it has waited
+// already counts, so that it doesn't wait for ever for what is always about to end.
 func (p *planner) worthWaiting(n *Need, c choice) bool {
 	if !n.Compact && n.DataRack == "" {
 		return false
@@ -93,13 +96,16 @@
 	}
 	for _, rack := range racks {
 		wait, ok := p.freeIn(n, rack, len(n.Indexes))
-		if ok && wait+n.Work < c.took {
+		if ok && p.waited(n)+wait+n.Work < c.took {
 			return true
 		}
 	}
 	return false
 }
 
+// waited returns for how long a need has been waiting.
+func (p *planner) waited(n *Need) time.Duration { return max(0, p.in.Now.Sub(n.Ready)) }
+
 func (p *planner) startGang(n *Need, c choice) {
 	st := jobs.Start{}
 	next := 0
@@ -176,18 +182,13 @@
 		}
 		if h := room(s).Holds(n.Room, min(len(n.Indexes), n.limit(s.w))); h > 0 {
 			f := p.factor(n, s.w)
-			if n.Avoid[s.w.ID] {
-				f *= 2
-			}
 			cands = append(cands, candidate{i, h, f})
 		}
 	}
 	slices.SortFunc(cands, func(a, b candidate) int {
 		x, y := &p.slots[a.slot], &p.slots[b.slot]
 		return cmp.Or(
-			cmp.Compare(grade(stretch(n.Work, a.factor)), grade(stretch(n.Work, b.factor))),
-			compareBool(x.idle(), y.idle()),
-			cmp.Compare(x.free().Accels, y.free().Accels),
+			p.prefer(n, a.factor, x, b.factor, y),
 			cmp.Compare(a.slot, b.slot),
 		)
 	})
--- a/internal/allot/input.go
+++ b/internal/allot/input.go
@@ -56,6 +56,7 @@
 	Rack    string
 	Size    Room
 	Speed   float64 // learned, 1 is a sound worker of the usual kind
+	Doubt   float64 // standard deviation of the logarithm of Speed
 	Barred  bool    // draining, out of reach or under suspicion: takes no new tasks
 	Runs    []Run
 }
@@ -100,11 +101,12 @@
 	DataRack string // slower elsewhere
 	Spread   int    // most tasks of the step on one worker; 0 is any
 	Used     map[jobs.Worker]int
-	Avoid    map[jobs.Worker]bool // where it failed before
+	Avoid    map[jobs.Worker]bool // where it failed before; used only if there is nowhere else
 	Priority int
 	Sure     bool // within its team's guarantee
 	Work     time.Duration
 	Rest     time.Duration // of the steps after this one
+	Ready    time.Time     // since when it could have started
 	Deadline time.Time     // by which the job ought to be complete
 	Late     time.Time     // after which its completion is of no use
 	Order    uint64
--- a/internal/allot/plan.go
+++ b/internal/allot/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -13,6 +14,9 @@
 	p := newPlanner(in)
 	needs := slices.Clone(in.Needs)
 	slices.SortStableFunc(needs, func(a, b Need) int { return rank(a, b, in.Now) })
+	for i := range needs {
+		p.spare(&needs[i])
+	}
 	p.honor(needs)
 	for i := range needs {
 		p.serve(&needs[i])
@@ -20,6 +24,23 @@
 	return p.plan
 }
 
+// spare lets a need avoid the workers on which it failed only as long as others
+// could take it.
+func (p *planner) spare(n *Need) {
+	if len(n.Avoid) == 0 {
+		return
+	}
+	holds := 0
+	for i := range p.slots {
+		if w := p.slots[i].w; n.allowed(w) {
+			holds += w.Size.Holds(n.Room, len(n.Indexes))
+		}
+	}
+	if holds < len(n.Indexes) {
+		n.Avoid = nil
+	}
+}
+
 // honor keeps the room of claims that still hold, before anything is placed.
 func (p *planner) honor(needs []Need) {
 	for i := range needs {
@@ -56,7 +77,7 @@
 func rank(a, b Need, now time.Time) int {
 	return cmp.Or(
 		-compareBool(a.Sure, b.Sure),
-		compareBool(a.hopeless(now), b.hopeless(now)),
+		cmp.Compare(a.use(now), b.use(now)),
 		cmp.Compare(a.Priority, b.Priority),
 		a.Deadline.Compare(b.Deadline),
 		cmp.Compare(a.Order, b.Order),
@@ -76,9 +97,17 @@
 	}
 }
 
-// hopeless tells whether even a start now comes too late to be of use.
-func (n *Need) hopeless(now time.Time) bool {
-	return !n.Late.IsZero() && now.Add(n.Work+n.Rest).After(n.Late)
+// use tells what completing a need's job is still good for if it starts now: 0 in
+// time, 1 late, 2 too late to be of use.
+func (n *Need) use(now time.Time) int {
+	end := now.Add(n.Work + n.Rest)
+	switch {
+	case !end.After(n.Deadline):
+		return 0
+	case !end.After(n.Late):
+		return 1
+	}
+	return 2
 }
 
 // slot is a worker during planning.
@@ -141,7 +170,7 @@
 
 // allowed tells whether tasks of a need may run on a worker at all.
 func (n *Need) allowed(w *Worker) bool {
-	return !w.Barred && w.Service == n.Service && (n.Label == "" || slices.Contains(w.Labels, n.Label))
+	return !w.Barred && !n.Avoid[w.ID] && w.Service == n.Service && (n.Label == "" || slices.Contains(w.Labels, n.Label))
 }
 
 // limit returns how many tasks of a need may be put on a worker besides those
@@ -205,41 +234,69 @@
 	}
 }
 
-// bestSingle returns the slot on which one task ends soonest, or -1. A place far
+// bestSingle returns the slot that one task is best put on, or -1. A place far
 // from the data is taken only if none near it comes free soon enough.
 func (p *planner) bestSingle(n *Need, taken map[int]int) int {
-	best, bestAt := time.Duration(0), -1
+	best, bestAt := 0.0, -1
 	for i := range p.slots {
 		s := &p.slots[i]
 		if !n.allowed(s.w) || taken[i] >= n.limit(s.w) || s.free().Holds(n.Room, 1) == 0 {
 			continue
 		}
-		took := stretch(n.Work, p.factor(n, s.w))
-		if n.Avoid[s.w.ID] {
-			took *= 2
-		}
-		if bestAt < 0 || p.fitsBetter(grade(took), s, grade(best), &p.slots[bestAt]) {
-			best, bestAt = took, i
+		f := p.factor(n, s.w)
+		if bestAt < 0 || p.prefer(n, f, s, best, &p.slots[bestAt]) < 0 {
+			best, bestAt = f, i
 		}
 	}
 	if bestAt >= 0 && n.DataRack != "" && p.slots[bestAt].w.Rack != n.DataRack {
-		if wait, ok := p.freeIn(n, n.DataRack, 1); ok && wait+n.Work < best {
+		if wait, ok := p.freeIn(n, n.DataRack, 1); ok && p.waited(n)+wait+n.Work < stretch(n.Work, best) {
 			return -1
 		}
 	}
 	return bestAt
 }
 
-// fitsBetter tells whether a task is better put on s than on o, by how long it
-// takes and, among equals, by what stays whole for larger ones.
-func (p *planner) fitsBetter(took int, s *slot, best int, o *slot) bool {
+// inTime tells whether a need's job is complete by its deadline if its work takes
+// some times as long as usual.
+func (p *planner) inTime(n *Need, factor float64) bool {
+	return !p.in.Now.Add(stretch(n.Work, factor*caution) + n.Rest).After(n.Deadline)
+}
+
+// caution is by how much a run is taken to be longer than expected where it must
+// be in time: orders and notices take their share, and speeds are learned.
+const caution = 1.1
+
+// prefer compares two workers for a need, by how many times as long as usual its
+// work takes there: the faster one comes first. Work that can wait takes the
+// slower one if that ends it in time, and leaves the faster to what needs them.
+func (p *planner) prefer(n *Need, fx float64, x *slot, fy float64, y *slot) int {
+	order := cmp.Compare(grade(stretch(n.Work, fx)), grade(stretch(n.Work, fy)))
+	if n.Priority > hurried {
+		ox, oy := p.inTime(n, fx), p.inTime(n, fy)
+		if ox != oy {
+			return compareBool(oy, ox)
+		}
+		if ox {
+			// Tasks of one step side by side show how fast workers are.
+			order = cmp.Or(-cmp.Compare(x.w.unknown(), y.w.unknown()), cmp.Compare(x.w.pace(), y.w.pace()))
+		}
+	}
 	return cmp.Or(
-		cmp.Compare(took, best),
-		compareBool(s.idle(), o.idle()),
-		cmp.Compare(s.free().Accels, o.free().Accels),
-	) < 0
+		order,
+		compareBool(x.idle(), y.idle()),
+		cmp.Compare(x.free().Accels, y.free().Accels),
+	)
 }
 
+// hurried is the highest priority number whose work takes the fastest workers.
+const hurried = 1
+
+// unknown returns how little is known of a worker's speed, in steps.
+func (w *Worker) unknown() int { return int(4 * w.Doubt) }
+
+// pace returns a worker's speed in steps of a fifth or so.
+func (w *Worker) pace() int { return int(math.Round(4 * math.Log2(max(w.Speed, slowest)))) }
+
 func stretch(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
 
 // take uses up room on a slot.
--- /dev/null
+++ b/internal/allot/plan_test.go
@@ -0,0 +1,147 @@
+package allot_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedlug/knapweedlug/internal/allot"
+	"github.com/knapweedlug/knapweedlug/internal/jobs"
+)
+
+var noon = time.Unix(1_000_000, 0)
+
+// fleet returns idle workers of eight accelerators, three a rack.
+func fleet(n int) []allot.Worker {
+	var list []allot.Worker
+	for i := range n {
+		list = append(list, allot.Worker{
+			ID: jobs.Worker{Name: string(rune('a' + i)), Born: 1}, Host: string(rune('a' + i)), Service: "s",
+			Rack: string(rune('0' + i/3)), Labels: []string{"x"}, Size: allot.Room{CPU: 32000, Memory: 128000, Accels: 8}, Speed: 1,
+		})
+	}
+	return list
+}
+
+// busy puts a run of some accelerators on a worker.
+func busy(w *allot.Worker, job string, accels int64, priority int, left time.Duration) {
+	w.Runs = append(w.Runs, allot.Run{
+		Task: jobs.TaskID{Job: job, Index: len(w.Runs)}, Run: 1, Room: allot.Room{CPU: 1000, Accels: accels},
+		Priority: priority, Left: left, Lost: time.Second,
+	})
+}
+
+func gang(job string, tasks int, accels int64) allot.Need {
+	n := allot.Need{
+		Job: job, Service: "s", Gang: true, Compact: true, Priority: 1, Room: allot.Room{CPU: 1000, Accels: accels},
+		Work: 4 * time.Second, Ready: noon, Deadline: noon.Add(20 * time.Second), Late: noon.Add(time.Minute),
+	}
+	for i := range tasks {
+		n.Indexes = append(n.Indexes, i)
+	}
+	return n
+}
+
+func racksOf(in allot.Input, p allot.Plan, job string) map[string]int {
+	racks := map[string]int{}
+	for _, st := range p.Starts {
+		for _, pl := range st.Places {
+			for i := range in.Workers {
+				if pl.Task.Job == job && in.Workers[i].ID == pl.Worker {
+					racks[in.Workers[i].Rack]++
+				}
+			}
+		}
+	}
+	return racks
+}
+
+func TestCompactGangWaitsForARackOnlySoLong(t *testing.T) {
+	in := allot.Input{Now: noon, Remote: 3, Workers: fleet(6)}
+	for _, i := range []int{0, 3} {
+		// In each rack one worker is taken by a run that is about to end, as
+		// it has been for a while.
+		busy(&in.Workers[i], "long", 8, 1, time.Second)
+	}
+	in.Needs = []allot.Need{gang("g", 3, 8)}
+	p := allot.Make(in)
+	require.Empty(t, p.Starts, "a rack comes free in a second, which is better than three times the time")
+	require.Equal(t, allot.Better, p.Rulings[0].Verdict)
+	in.Now = noon.Add(15 * time.Second)
+	p = allot.Make(in)
+	require.Len(t, racksOf(in, p, "g"), 2, "what should have ended long ago isn't waited for any more")
+}
+
+func TestGangStaysInOneRack(t *testing.T) {
+	in := allot.Input{Now: noon, Remote: 3, Workers: fleet(6), Needs: []allot.Need{gang("g", 3, 8)}}
+	busy(&in.Workers[0], "other", 1, 1, time.Second)
+	require.Equal(t, map[string]int{"1": 3}, racksOf(in, allot.Make(in), "g"))
+}
+
+func TestSmallJobsLeaveRacksWhole(t *testing.T) {
+	in := allot.Input{Now: noon, Remote: 3, Workers: fleet(6)}
+	busy(&in.Workers[4], "other", 3, 1, time.Second)
+	in.Needs = []allot.Need{gang("g", 2, 2)}
+	require.Equal(t, map[string]int{"1": 2}, racksOf(in, allot.Make(in), "g"))
+}
+
+func TestGuaranteeStopsWhatIsLeastLost(t *testing.T) {
+	in := allot.Input{Now: noon, Remote: 3, Workers: fleet(2)}
+	for i := range in.Workers {
+		busy(&in.Workers[i], "batch", 8, 2, time.Minute)
+	}
+	in.Workers[1].Runs[0].Lost = 100 * time.Millisecond
+	n := gang("g", 1, 4)
+	n.Priority, n.Sure = 0, true
+	in.Needs = []allot.Need{n, gang("small", 1, 1)}
+	p := allot.Make(in)
+	require.Len(t, p.Stops, 1)
+	require.Equal(t, in.Workers[1].ID, p.Stops[0].Worker)
+	require.Len(t, p.Claims, 1)
+
+	// Once the room is there, it is the guarantee's.
+	in.Workers[1].Runs = nil
+	in.Claims = p.Claims
+	in.Needs[0].Indexes = []int{0}
+	p = allot.Make(in)
+	require.Equal(t, "g", p.Starts[0].Places[0].Task.Job)
+	require.Empty(t, p.Stops)
+}
+
+func TestClearedRoomIsKept(t *testing.T) {
+	in := allot.Input{Now: noon, Remote: 3, Workers: fleet(2)}
+	for i := range in.Workers {
+		busy(&in.Workers[i], "batch", 4, 2, time.Minute)
+		busy(&in.Workers[i], "batch", 4, 2, time.Minute)
+	}
+	n := gang("g", 1, 8)
+	n.Priority, n.Sure = 0, true
+	in.Needs = []allot.Need{n}
+	p := allot.Make(in)
+	require.Len(t, p.Stops, 2)
+	// One of the two runs has ended, the other is still stopping.
+	for i := range in.Workers {
+		if in.Workers[i].ID == p.Stops[0].Worker {
+			in.Workers[i].Runs = in.Workers[i].Runs[:1]
+			in.Workers[i].Runs[0].Stopping = true
+		}
+	}
+	in.Claims = p.Claims
+	in.Needs = append(in.Needs, gang("small", 1, 1))
+	p = allot.Make(in)
+	require.Empty(t, p.Starts)
+	require.Empty(t, p.Stops)
+	require.Equal(t, allot.Held, p.Rulings[0].Verdict)
+}
+
+func TestFailedElsewhereFirst(t *testing.T) {
+	in := allot.Input{Now: noon, Remote: 3, Workers: fleet(2)}
+	n := gang("g", 1, 8)
+	n.Avoid = map[jobs.Worker]bool{in.Workers[0].ID: true}
+	busy(&in.Workers[1], "other", 8, 1, time.Second)
+	in.Needs = []allot.Need{n}
+	require.Empty(t, allot.Make(in).Starts, "the other worker comes free soon")
+	in.Workers = in.Workers[:1]
+	require.Len(t, allot.Make(in).Starts, 1, "there is no other worker")
+}
--- a/internal/allot/play/day.go
+++ b/internal/allot/play/day.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/knapweedlug/knapweedlug/internal/allot"
+	"github.com/knapweedlug/knapweedlug/internal/jobs"
 )
 
 // Job is a job of a day: one step of like tasks.
@@ -37,6 +38,15 @@
 	return float64(j.Tasks) * (float64(j.Room.CPU)/1000 + 8*float64(j.Room.Accels)) * j.Work.Seconds()
 }
 
+// uneven returns how many times the usual a task of a job takes.
+func (j Job) uneven(index int) float64 {
+	if j.Gang {
+		return 1
+	}
+	rng := rand.New(rand.NewPCG(uint64(j.At), uint64(index)))
+	return math.Exp(0.15 * rng.NormFloat64())
+}
+
 // weigh scales the worth of jobs with their size against the mean of their queue,
 // as the users' pages do.
 func (d *Day) weigh() {
@@ -60,7 +70,8 @@
 // Day is what a day brings.
 type Day struct {
 	Workers []allot.Worker
-	Sure    map[string]int64 // guaranteed accelerators by team
+	Speeds  map[jobs.Worker]float64 // which the decisions have to find out
+	Sure    map[string]int64        // guaranteed accelerators by team
 	Jobs    []Job
 	Remote  float64
 	Stop    time.Duration // that a run takes to end when it is told to
@@ -113,7 +124,10 @@
 // traffic and a burst of urgent jobs.
 func Generate(seed uint64, n int, length time.Duration, load float64) Day {
 	rng := rand.New(rand.NewPCG(seed, 1))
-	d := Day{Workers: Fleet(n), Sure: map[string]int64{}, Remote: 3, Stop: 300 * time.Millisecond}
+	d := Day{Workers: Fleet(n), Speeds: map[jobs.Worker]float64{}, Sure: map[string]int64{}, Remote: 3, Stop: 300 * time.Millisecond}
+	for _, w := range d.Workers {
+		d.Speeds[w.ID] = []float64{0.6, 1, 1.6}[rng.IntN(3)]
+	}
 	teams := []string{"t0", "t1", "t2", "t3"}
 	for _, t := range teams {
 		d.Sure[t] = int64(float64(n) * 8 * 0.62 / float64(len(teams)))
--- a/internal/allot/play/play.go
+++ b/internal/allot/play/play.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -110,6 +111,8 @@
 	running  bool
 	done     bool
 	whole    bool
+	single   bool
+	sampled  bool
 }
 
 // tick is how fine time is; a decision takes effect after one.
@@ -182,7 +185,7 @@
 	t.done = true
 	w.res.Used += took.Seconds() * float64(j.Room.Accels)
 	w.learner.Ended(allot.Outcome{
-		Worker: t.on, Queue: j.Queue, Job: j.ID, How: jobs.RunDone, Took: took, Factor: t.factor, Whole: t.whole, Single: true,
+		Worker: t.on, Task: w.id(t), Queue: j.Queue, How: jobs.RunDone, Took: took, Factor: t.factor, Whole: t.whole, Single: t.single, Gang: j.Gang,
 	}, time.Unix(0, 0).Add(w.now))
 	j.done++
 	if j.done == len(j.tasks) {
@@ -211,7 +214,9 @@
 	for i := range in.Workers {
 		in.Workers[i].Runs = nil
 		in.Workers[i].Speed = w.learner.Speed(in.Workers[i].ID)
+		in.Workers[i].Doubt = w.learner.Doubt(in.Workers[i].ID)
 		for _, t := range w.slots[in.Workers[i].ID] {
+			w.sample(t)
 			in.Workers[i].Runs = append(in.Workers[i].Runs, w.run(t, sure))
 		}
 	}
@@ -230,6 +235,18 @@
 	}
 }
 
+// sample lets the learner see a run under way, once.
+func (w *world) sample(t *task) {
+	elapsed, whole := w.now-t.begun, t.ends-t.begun
+	if t.sampled || t.stopping || elapsed*4 < whole || elapsed < 500*time.Millisecond {
+		return
+	}
+	t.sampled = true
+	w.learner.Progress(allot.Outcome{
+		Worker: t.on, Task: w.id(t), Queue: t.job.Queue, Took: whole, Factor: t.factor, Whole: t.whole, Single: t.single, Gang: t.job.Gang,
+	})
+}
+
 func (w *world) run(t *task, sure map[string]bool) allot.Run {
 	j := t.job
 	work := time.Duration(float64(w.learner.Work(j.Queue, j.Estimate)) * t.factor)
@@ -252,7 +269,7 @@
 	from := now.Add(j.At - w.now)
 	n := allot.Need{
 		Job: j.ID, Queue: j.Queue, Team: j.Team, Service: "s", Room: j.Room, Gang: j.Gang, Compact: j.Compact, Label: j.Label,
-		DataRack: j.DataRack, Priority: j.Priority, Sure: sure[j.ID], Work: work, Order: uint64(j.index),
+		DataRack: j.DataRack, Priority: j.Priority, Sure: sure[j.ID], Work: work, Ready: from, Order: uint64(j.index),
 		Deadline: from.Add(aim), Late: from.Add(3 * aim), Used: map[jobs.Worker]int{},
 	}
 	for _, t := range j.tasks {
@@ -311,8 +328,10 @@
 		return
 	}
 	j := first.job
-	factor := 1.0
+	factor, speed, single := 1.0, math.MaxFloat64, true
 	for _, p := range s.Places {
+		single = single && p.Worker == s.Places[0].Worker
+		speed = min(speed, w.day.Speeds[p.Worker])
 		if (j.Compact && racks[p.Worker] != racks[s.Places[0].Worker]) || (j.DataRack != "" && racks[p.Worker] != j.DataRack) {
 			factor = w.day.Remote
 		}
@@ -324,7 +343,8 @@
 		t := j.tasks[p.Task.Index]
 		t.run++
 		t.on, t.begun, t.factor, t.running, t.stopping, t.whole = p.Worker, w.now, factor, true, false, j.saved == 0
-		t.ends = w.now + time.Duration(float64(j.Work-j.saved)*factor) + tick
+		t.single, t.sampled = single, false
+		t.ends = w.now + time.Duration(float64(j.Work-j.saved)*factor*j.uneven(p.Task.Index)/speed) + tick
 		w.slots[p.Worker] = append(w.slots[p.Worker], t)
 		w.res.Starts++
 	}
--- a/internal/jobctl/hosts.go
+++ b/internal/jobctl/hosts.go
@@ -30,10 +30,10 @@
 	rep    *wire.HostReport      // the last one
 	heard  time.Time
 	worker jobs.Worker
-	gone   []jobs.RunGone // not committed yet
+	gone   []jobs.RunGone       // not committed yet
 	sent   map[runKey]time.Time // when runs were ordered on this stream
 	halted map[runKey]time.Time // when stops were ordered on this stream
-	seen   uint64         // acknowledged on this stream
+	seen   uint64               // acknowledged on this stream
 }
 
 // hostDump is a host in a dump.
@@ -197,6 +197,7 @@
 			zap.String("worker", w.Name), zap.String("reason", g.Reason))
 	}
 	h.rep, h.worker, h.heard = rep, w, now
+	l.sample(rep, now)
 	return news
 }
 
@@ -338,7 +339,7 @@
 	if !ok {
 		return
 	}
-	l.learner.Ended(outcomeOf(b, end.How, now), now)
+	l.learner.Ended(outcomeOf(b, key.task, end.How, now.Sub(b.at)), now)
 	if end.How == jobs.RunFailed {
 		if l.failedOn[b.job] == nil {
 			l.failedOn[b.job] = map[jobs.Worker]bool{}
@@ -347,8 +348,31 @@
 	}
 }
 
-func outcomeOf(b begun, how jobs.How, now time.Time) allot.Outcome {
+func outcomeOf(b begun, task string, how jobs.How, took time.Duration) allot.Outcome {
+	id, _ := jobs.ParseTask(task) // the leader made the name itself
 	return allot.Outcome{
-		Worker: b.worker, Queue: b.queue, Job: b.job, How: how, Took: now.Sub(b.at), Factor: b.factor, Whole: b.whole, Single: b.single,
+		Worker: b.worker, Task: id, Queue: b.queue, How: how, Took: took, Factor: b.factor, Whole: b.whole, Single: b.single, Gang: b.gang,
+	}
+}
+
+const (
+	// sampleAt is the progress from which on a run tells how fast its worker is.
+	sampleAt = 25 // percent
+	// sampleAfter bounds the error of the order's way and of rounded percents.
+	sampleAfter = 500 * time.Millisecond
+)
+
+// sample learns from runs under way, once from each. The caller holds mu.
+func (l *lead) sample(rep *wire.HostReport, now time.Time) {
+	for _, r := range rep.Runs {
+		k := runKey{r.Task, int(r.Run)}
+		b, ok := l.runs[k]
+		elapsed := now.Sub(b.at)
+		if !ok || b.sampled || r.Percent < sampleAt || r.Percent >= 100 || elapsed < sampleAfter {
+			continue
+		}
+		b.sampled = true
+		l.runs[k] = b
+		l.learner.Progress(outcomeOf(b, r.Task, "", elapsed*100/time.Duration(r.Percent)))
 	}
 }
--- a/internal/jobctl/input.go
+++ b/internal/jobctl/input.go
@@ -82,7 +82,7 @@
 		w := allot.Worker{
 			ID: h.worker, Host: name, Service: h.rep.Service, Labels: h.rep.Labels, Rack: h.rep.Rack,
 			Size:  allot.Room{CPU: h.rep.Cpu, Memory: h.rep.Memory, Accels: h.rep.Accels},
-			Speed: l.learner.Speed(h.worker),
+			Speed: l.learner.Speed(h.worker), Doubt: l.learner.Doubt(h.worker),
 			Barred: h.out == nil || h.rep.Draining || h.rep.Lost || now.Sub(h.heard) > quiet ||
 				l.learner.Barred(h.worker, now),
 		}
@@ -162,6 +162,7 @@
 				continue
 			}
 			n.Sure = sure
+			n.Ready = l.readySince(jobs.TaskID{Job: j.ID, Occur: k, Step: i})
 			if q, ok := v.Config().Queue(j.Queue); ok {
 				n.Service = q.Service
 			}
@@ -172,6 +173,16 @@
 	return list
 }
 
+// readySince returns when a step was first found ready to start.
+func (l *lead) readySince(step jobs.TaskID) time.Time {
+	at, ok := l.ready[step]
+	if !ok {
+		at = l.now()
+		l.ready[step] = at
+	}
+	return at
+}
+
 // need returns the tasks of a step that wait.
 func (l *lead) need(j *jobs.Job, k, i int, o *jobs.Occur) (allot.Need, bool) {
 	st := j.Spec.Steps[i]
--- a/internal/jobctl/lead.go
+++ b/internal/jobctl/lead.go
@@ -31,14 +31,16 @@
 
 // begun is what the leader remembers of a run that it started.
 type begun struct {
-	at     time.Time
-	worker jobs.Worker
-	queue  string
-	job    string
-	factor float64
-	whole  bool
-	single bool
-	sent   bool // its order has gone out
+	at      time.Time
+	worker  jobs.Worker
+	queue   string
+	job     string
+	factor  float64
+	whole   bool
+	single  bool
+	gang    bool
+	sent    bool // its order has gone out
+	sampled bool // its progress was learned from
 }
 
 // lead is the work of the leader. It ends with the term.
@@ -59,6 +61,7 @@
 	stopping map[runKey]string               // runs told to make room, and for which job
 	leases   map[jobs.Worker]time.Time       // until when runs may be going on
 	born     map[string]time.Time            // acceptance of jobs, on the own clock
+	ready    map[jobs.TaskID]time.Time       // since when steps could have started
 	ended    map[string]time.Time            // when ended jobs were first seen
 	rulings  map[string]allot.Verdict        // last verdict logged, by job and step
 	members  time.Time                       // when the membership was last looked at
@@ -69,7 +72,7 @@
 	return &lead{
 		c: c, term: term, log: c.env.Log, began: c.env.Boot.Now(), woken: make(chan struct{}, 1),
 		hosts: map[string]*host{}, learner: allot.NewLearner(), runs: map[runKey]begun{},
-		stopping: map[runKey]string{}, leases: map[jobs.Worker]time.Time{}, born: map[string]time.Time{},
+		stopping: map[runKey]string{}, leases: map[jobs.Worker]time.Time{}, born: map[string]time.Time{}, ready: map[jobs.TaskID]time.Time{},
 		ended: map[string]time.Time{}, rulings: map[string]allot.Verdict{},
 		failedOn: map[string]map[jobs.Worker]bool{},
 	}
@@ -223,7 +226,7 @@
 	for _, p := range st.Places {
 		saved := rec.Saved + rec.Tasks[p.Task.Index].Saved
 		l.runs[runKey{p.Task.String(), run}] = begun{
-			at: now, worker: p.Worker, queue: j.Queue, job: j.ID, factor: factor, whole: saved == "", single: single,
+			at: now, worker: p.Worker, queue: j.Queue, job: j.ID, factor: factor, whole: saved == "", single: single, gang: step.Gang,
 		}
 		l.log.Info("start", zap.String("request", j.ID), zap.Stringer("task", p.Task), zap.Int("run", run),
 			zap.String("worker", p.Worker.Name), zap.String("host", p.Host), zap.String("rack", racks[p.Worker]),
--- a/internal/jobctl/orders.go
+++ b/internal/jobctl/orders.go
@@ -187,6 +187,8 @@
 		delete(l.born, id)
 		delete(l.failedOn, id)
 		delete(l.rulings, id)
+		l.learner.ForgetJob(id)
+		maps.DeleteFunc(l.ready, func(step jobs.TaskID, _ time.Time) bool { return step.Job == id })
 	}
 	return drop
 }
