--- a/internal/allot/learn.go
+++ b/internal/allot/learn.go
@@ -149,6 +149,10 @@
 	}
 }
 
+// Stalled notes that a run stands still on a worker: it takes nothing new for a
+// while.
+func (l *Learner) Stalled(w jobs.Worker, now time.Time) { l.standing(w).barred = now.Add(barFor) }
+
 // measure takes in the length of a run.
 func (l *Learner) measure(o Outcome, s *standing, ended bool) {
 	m := measure{task: o.Task, step: l.step(o), on: s, took: math.Log(o.Took.Seconds() / o.Factor)}
--- /dev/null
+++ b/internal/allot/stall_test.go
@@ -0,0 +1,36 @@
+package allot_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedlug/knapweedlug/internal/allot"
+)
+
+func TestStalledRunIsFound(t *testing.T) {
+	at := func(s float64) time.Time { return noon.Add(time.Duration(s * float64(time.Second))) }
+	p := allot.NewPulse(noon, 2*time.Second)
+	for i := range 5 {
+		p = p.WithProgress(10*(i+1), at(0.2*float64(i+1)))
+		require.False(t, p.Stalled(at(0.2*float64(i+1)+0.1)))
+	}
+	p = p.WithProgress(50, at(2.4))
+	require.False(t, p.Stalled(at(2.4)))
+	require.True(t, p.Stalled(at(2.6)))
+	p = p.WithProgress(51, at(2.7))
+	require.False(t, p.Stalled(at(3)), "it goes on")
+}
+
+// A run of a minute moves by a percent in 0.6 s, and on a slow worker far from
+// its data in six seconds.
+func TestSlowRunIsNotStalled(t *testing.T) {
+	p := allot.NewPulse(noon, 60*time.Second)
+	for i := range 20 {
+		now := noon.Add(time.Duration(i) * 6 * time.Second)
+		require.False(t, p.Stalled(now), "%d", i)
+		p = p.WithProgress(i, now)
+	}
+	require.False(t, allot.NewPulse(noon, time.Second).WithProgress(100, noon).Stalled(noon.Add(time.Hour)), "its end is on the way")
+}
--- a/internal/jobctl/hosts.go
+++ b/internal/jobctl/hosts.go
@@ -197,8 +197,7 @@
 			zap.String("worker", w.Name), zap.String("reason", g.Reason))
 	}
 	h.rep, h.worker, h.heard = rep, w, now
-	l.sample(rep, now)
-	return news
+	return l.sample(rep, now) || news
 }
 
 func jobOf(task string) string {
@@ -341,10 +340,7 @@
 	}
 	l.learner.Ended(outcomeOf(b, key.task, end.How, now.Sub(b.at)), now)
 	if end.How == jobs.RunFailed {
-		if l.failedOn[b.job] == nil {
-			l.failedOn[b.job] = map[jobs.Worker]bool{}
-		}
-		l.failedOn[b.job][w] = true
+		l.avoid(b.job, w)
 	}
 }
 
@@ -362,17 +358,43 @@
 	sampleAfter = 500 * time.Millisecond
 )
 
-// sample learns from runs under way, once from each. The caller holds mu.
-func (l *lead) sample(rep *wire.HostReport, now time.Time) {
+// sample learns from runs under way, and stops those that stand still so that
+// they start elsewhere. The caller holds mu.
+func (l *lead) sample(rep *wire.HostReport, now time.Time) bool {
+	news := false
 	for _, r := range rep.Runs {
 		k := runKey{r.Task, int(r.Run)}
 		b, ok := l.runs[k]
-		elapsed := now.Sub(b.at)
-		if !ok || b.sampled || r.Percent < sampleAt || r.Percent >= 100 || elapsed < sampleAfter {
+		if !ok {
 			continue
 		}
-		b.sampled = true
+		b.pulse = b.pulse.WithProgress(int(r.Percent), now)
+		elapsed := now.Sub(b.at)
+		if !b.sampled && r.Percent >= sampleAt && r.Percent < 100 && elapsed >= sampleAfter {
+			b.sampled = true
+			l.learner.Progress(outcomeOf(b, r.Task, "", elapsed*100/time.Duration(r.Percent)))
+		}
+		if _, stops := l.stopping[k]; !stops && b.pulse.Stalled(now) {
+			l.stopping[k] = stalled
+			l.learner.Stalled(b.worker, now)
+			l.avoid(b.job, b.worker)
+			news = true
+			l.log.Warn("run stands still", zap.String("request", b.job), zap.String("task", r.Task), zap.Int("run", k.run),
+				zap.String("worker", b.worker.Name), zap.Uint32("percent", r.Percent), zap.Duration("after", elapsed), zap.Uint64("term", l.term))
+		}
 		l.runs[k] = b
-		l.learner.Progress(outcomeOf(b, r.Task, "", elapsed*100/time.Duration(r.Percent)))
 	}
+	return news
+}
+
+// stalled stands in the place of a job that a run makes room for.
+const stalled = "nothing: it stands still"
+
+// avoid keeps a job's tasks off a worker as long as others could take them. The
+// caller holds mu.
+func (l *lead) avoid(job string, w jobs.Worker) {
+	if l.failedOn[job] == nil {
+		l.failedOn[job] = map[jobs.Worker]bool{}
+	}
+	l.failedOn[job][w] = true
 }
--- a/internal/jobctl/lead.go
+++ b/internal/jobctl/lead.go
@@ -40,6 +40,7 @@
 	single  bool
 	gang    bool
 	sent    bool // its order has gone out
+	pulse   allot.Pulse
 	sampled bool // its progress was learned from
 }
 
@@ -223,10 +224,12 @@
 			factor = l.c.cfg.Remote
 		}
 	}
+	work := l.learner.Work(j.Queue, time.Duration(step.EstimateMs)*time.Millisecond)
+	pulse := allot.NewPulse(now, time.Duration(factor*float64(work)))
 	for _, p := range st.Places {
 		saved := rec.Saved + rec.Tasks[p.Task.Index].Saved
 		l.runs[runKey{p.Task.String(), run}] = begun{
-			at: now, worker: p.Worker, queue: j.Queue, job: j.ID, factor: factor, whole: saved == "", single: single, gang: step.Gang,
+			at: now, worker: p.Worker, queue: j.Queue, job: j.ID, factor: factor, whole: saved == "", single: single, gang: step.Gang, pulse: pulse,
 		}
 		l.log.Info("start", zap.String("request", j.ID), zap.Stringer("task", p.Task), zap.Int("run", run),
 			zap.String("worker", p.Worker.Name), zap.String("host", p.Host), zap.String("rack", racks[p.Worker]),
--- a/internal/load/record.go
+++ b/internal/load/record.go
@@ -130,7 +130,7 @@
 }
 
 func entryName(i int) string  { return "entry-" + strconv.Itoa(i) }
-func serverName(i int) string { return "minion-" + strconv.Itoa(i) }
+func serverName(i int) string { return "server-" + strconv.Itoa(i) }
 
 // indexOf returns the number at the end of a name.
 func indexOf(name string) int {
--- a/internal/route/bench_test.go
+++ b/internal/route/bench_test.go
@@ -14,7 +14,7 @@
 		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
 			p, now := NewPicker(), time.Unix(0, 0)
 			for i := range servers {
-				name := fmt.Sprint("minion-", i)
+				name := fmt.Sprint("server-", i)
 				p.Add(name)
 				p.Grant(Credit{Server: name, ID: uint64(i), Class: admit.AnySlot})
 			}
--- a/internal/route/example_test.go
+++ b/internal/route/example_test.go
@@ -28,7 +28,7 @@
 func ExamplePicker() {
 	now := time.Unix(0, 0)
 	p := route.NewPicker()
-	for i, server := range []string{"minion-1", "minion-2"} {
+	for i, server := range []string{"server-1", "server-2"} {
 		p.Add(server)
 		p.Grant(route.Credit{Server: server, ID: uint64(i), Class: admit.AnySlot})
 	}
@@ -37,5 +37,5 @@
 	p.Grant(c)
 	c, _ = p.Pick(admit.Long, now)
 	fmt.Println(c.Server)
-	// Output: minion-2
+	// Output: server-2
 }
