--- a/internal/allot/gang.go
+++ b/internal/allot/gang.go
@@ -16,8 +16,6 @@
 	stops  []Stop
 	lost   time.Duration // work thrown away by the stops
 
-	late      bool  // it doesn't end the gang in time
-	speed     int   // sum of the graded speeds of the workers used, by task
 	idleRacks int   // idle racks that it makes use of
 	idleHosts int   // the same of hosts
 	left      int64 // accelerators that stay free on the hosts used
--- a/internal/jobagt/agent_test.go
+++ b/internal/jobagt/agent_test.go
@@ -35,7 +35,7 @@
 	return Listing{}, errMute
 }
 
-func (s *scripted) Start(_ context.Context, _ jobs.Worker, st Start) (Verdict, error) {
+func (s *scripted) Start(_ context.Context, _ jobs.Worker, _ Start) (Verdict, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.got = append(s.got, "start")
--- a/internal/jobctl/input.go
+++ b/internal/jobctl/input.go
@@ -166,7 +166,7 @@
 			if q, ok := v.Config().Queue(j.Queue); ok {
 				n.Service = q.Service
 			}
-			l.dates(&n, j, k, i, due, wall)
+			l.dates(&n, j, i, due, wall)
 			list = append(list, n)
 		}
 	}
@@ -213,7 +213,7 @@
 }
 
 // dates fills in how long a need's work takes and by when it ought to be done.
-func (l *lead) dates(n *allot.Need, j *jobs.Job, k, i int, due, wall int64) {
+func (l *lead) dates(n *allot.Need, j *jobs.Job, i int, due, wall int64) {
 	chain := make([]time.Duration, len(j.Spec.Steps))
 	total := time.Duration(0)
 	for x, st := range j.Spec.Steps {
--- a/internal/jobctl/orders.go
+++ b/internal/jobctl/orders.go
@@ -216,37 +216,41 @@
 	}
 	for _, a := range st.Waiting {
 		l.c.meet(a.Name)
-		err := l.takeIn(ctx, st, a, voters, now)
+		taken, err := l.takeIn(ctx, st, a, voters, now)
 		if err != nil {
 			l.log.Info("replica not taken in", zap.String("name", a.Name), zap.Error(err))
 		}
-		return
+		if taken || err != nil {
+			return // one change of the membership at a time
+		}
 	}
 }
 
-func (l *lead) takeIn(ctx context.Context, st replog.Status, a replog.Announced, voters int, now time.Time) error {
+// takeIn makes a replica that announced itself a member if there is a place for
+// it, and tells whether it did.
+func (l *lead) takeIn(ctx context.Context, st replog.Status, a replog.Announced, voters int, now time.Time) (bool, error) {
 	replaced := func(inc string) bool {
 		return slices.ContainsFunc(st.Members, func(m replog.Member) bool { return m.Replaces == inc })
 	}
 	for _, m := range st.Members {
 		if m.Name == a.Name {
 			if replaced(m.Incarnation) {
-				return nil
+				return false, nil
 			}
 			l.log.Warn("replica lost its folder", zap.String("name", a.Name), zap.String("incarnation", m.Incarnation),
 				zap.String("next", a.Incarnation))
-			return l.c.node.Replace(ctx, m.Incarnation, a.Name)
+			return true, l.c.node.Replace(ctx, m.Incarnation, a.Name)
 		}
 	}
 	if voters < 2*l.c.cfg.Losses+1 {
 		l.log.Info("replica joins", zap.String("name", a.Name), zap.String("incarnation", a.Incarnation))
-		return l.c.node.AddLearner(ctx, a.Name)
+		return true, l.c.node.AddLearner(ctx, a.Name)
 	}
 	for _, p := range st.Peers {
 		if now.Sub(p.Heard) > deadAfter && !replaced(p.Incarnation) {
 			l.log.Warn("replica replaced", zap.String("name", p.Name), zap.String("by", a.Name), zap.Duration("silent", now.Sub(p.Heard)))
-			return l.c.node.Replace(ctx, p.Incarnation, a.Name)
+			return true, l.c.node.Replace(ctx, p.Incarnation, a.Name)
 		}
 	}
-	return nil
+	return false, nil
 }
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -223,12 +223,12 @@
 		return
 	}
 	t.On = Worker{}
-	j.record(o, id, r, t, how, saved)
+	j.record(id, r, t, how, saved)
 	j.settle(id, o, now)
 }
 
 // record notes in a step's record how one of its runs ended.
-func (j *Job) record(o *Occur, id TaskID, r *StepRecord, t *Task, how How, saved string) {
+func (j *Job) record(id TaskID, r *StepRecord, t *Task, how How, saved string) {
 	st := j.Spec.Steps[id.Step]
 	if saved != "" {
 		if st.Gang {
