--- a/internal/jobctl/lead.go
+++ b/internal/jobctl/lead.go
@@ -53,6 +53,7 @@
 	done  <-chan struct{}
 	woken chan struct{}
 
+	listed string        // membership as it was last logged
 	claims []allot.Claim // of the last plan; only step uses it
 
 	mu       sync.Mutex
--- a/internal/jobctl/orders.go
+++ b/internal/jobctl/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -199,13 +200,18 @@
 func (l *lead) tendMembers(ctx context.Context, now time.Time) {
 	node := l.c.node
 	st := node.Status()
-	voters := 0
+	voters, listed := 0, ""
 	for _, m := range st.Members {
 		l.c.meet(m.Name)
+		listed += fmt.Sprintf("%s/%s/%s ", m.Name, m.Incarnation, m.Role)
 		if m.Role == replog.Voter {
 			voters++
 		}
 	}
+	if listed != l.listed {
+		l.listed = listed
+		l.log.Info("membership", zap.Uint64("term", l.term), zap.Int("voters", voters), zap.Int("members", len(st.Members)), zap.String("list", listed))
+	}
 	for _, m := range st.Members {
 		if m.Role == replog.Learner && m.Replaces == "" {
 			if err := node.Promote(ctx, m.Incarnation); err == nil {
