--- a/internal/allot/gang.go
+++ b/internal/allot/gang.go
@@ -235,6 +235,11 @@
 	}
 }
 
+// urgency is how many times as much work may be thrown away as an urgent task does
+// itself. On the users' sheets a second of urgent work earns five times as much as
+// one of the rest, and work thrown away costs a third of what that earns.
+const urgency = 2
+
 // worthClearing tells whether runs should be stopped for a gang that no guarantee
 // covers: only if that completes it in time, waiting doesn't, and less work is
 // thrown away than it does itself.
@@ -245,5 +250,5 @@
 	if wait, ok := p.freeIn(n, "", len(n.Indexes)); ok && !p.in.Now.Add(wait+c.took+n.Rest).After(n.Deadline) {
 		return false
 	}
-	return p.cost(c.stops) <= n.Work.Seconds()*n.Room.weight()*float64(len(n.Indexes))
+	return p.cost(c.stops) <= urgency*n.Work.Seconds()*n.Room.weight()*float64(len(n.Indexes))
 }
--- a/internal/allot/plan.go
+++ b/internal/allot/plan.go
@@ -77,8 +77,9 @@
 func rank(a, b Need, now time.Time) int {
 	return cmp.Or(
 		-compareBool(a.Sure, b.Sure),
-		cmp.Compare(a.use(now), b.use(now)),
+		cmp.Compare(a.use(now)/useless, b.use(now)/useless),
 		cmp.Compare(a.Priority, b.Priority),
+		cmp.Compare(a.use(now), b.use(now)),
 		a.Deadline.Compare(b.Deadline),
 		cmp.Compare(a.Order, b.Order),
 		cmp.Compare(a.Occur, b.Occur),
@@ -97,6 +98,9 @@
 	}
 }
 
+// useless is the use of what completes too late.
+const useless = 2
+
 // use tells what completing a need's job is still good for if it starts now: 0 in
 // time, 1 late, 2 too late to be of use.
 func (n *Need) use(now time.Time) int {
@@ -107,7 +111,7 @@
 	case !end.After(n.Late):
 		return 1
 	}
-	return 2
+	return useless
 }
 
 // slot is a worker during planning.
@@ -264,7 +268,7 @@
 
 // caution is by how much a run is taken to be longer than expected where it must
 // be in time: orders and notices take their share, and speeds are learned.
-const caution = 1.1
+const caution = 1.4
 
 // prefer compares two workers for a need, by how many times as long as usual its
 // work takes there: the faster one comes first. Work that can wait takes the
@@ -289,7 +293,7 @@
 }
 
 // hurried is the highest priority number whose work takes the fastest workers.
-const hurried = 1
+const hurried = 0
 
 // unknown returns how little is known of a worker's speed, in steps.
 func (w *Worker) unknown() int { return int(4 * w.Doubt) }
--- a/internal/allot/reclaim.go
+++ b/internal/allot/reclaim.go
@@ -216,7 +216,7 @@
 	for _, r := range victims {
 		stops = append(stops, Stop{Worker: s.w.ID, Task: r.Task, Run: r.Run, For: n.Job})
 	}
-	if !n.Sure && p.cost(stops) > n.Work.Seconds()*n.Room.weight()*float64(holds) {
+	if !n.Sure && p.cost(stops) > urgency*n.Work.Seconds()*n.Room.weight()*float64(holds) {
 		return 0
 	}
 	for _, st := range stops {
