--- a/internal/jobent/entry.go
+++ b/internal/jobent/entry.go
@@ -27,9 +27,9 @@
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 30 * time.Second
 	maxHeader     = 32 << 10
-	// tryTimeout bounds one try at the leader; a commit takes some 20 ms, and a
-	// silent connection is given up after 1.7 s.
-	tryTimeout = 1500 * time.Millisecond
+	// tryTimeout bounds one try at the leader. A commit takes some 20 ms, with a
+	// slow disk some 250 ms; a leader that takes longer is looked for anew.
+	tryTimeout = 700 * time.Millisecond
 	tryPause   = 20 * time.Millisecond
 	// answerMargin is kept for the way back to the caller.
 	answerMargin = 150 * time.Millisecond
@@ -181,8 +181,8 @@
 			return answerOf(rep, e.env.Boot.Now()), tries, nil
 		}
 		last = err
-		if errors.Is(err, wire.ErrNotLeader) {
-			// The leader may have committed before it lost its term.
+		if ctx.Err() == nil {
+			// It has lost its term, is frozen or cut off: another one may lead.
 			e.finder.Drop(s)
 		}
 		sent = true
--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -18,13 +18,15 @@
 )
 
 const (
-	// dialTimeout covers a lost opening packet on a link of a few milliseconds
-	// without holding up the next candidate.
-	dialTimeout = 400 * time.Millisecond
-	askTimeout  = 400 * time.Millisecond
+	// tryTimeout is for connecting to one candidate and asking it. That takes
+	// some 20 ms; a frozen one must not hold up the next.
+	tryTimeout = 350 * time.Millisecond
 	// pause between two rounds over all candidates, spread by half. An election
 	// takes 0.6 to 1.2 s, so a new leader is found within a tenth of that.
 	pause = 80 * time.Millisecond
+	// suspectFor is how long a candidate that didn't answer is tried last. Most
+	// freezes and cuts take longer.
+	suspectFor = 2 * time.Second
 	// maxKnown bounds the addresses that are remembered.
 	maxKnown = 64
 )
@@ -39,19 +41,24 @@
 	log *zap.Logger
 	up  func(ctx context.Context, s *wire.Session)
 
-	mu      sync.Mutex
-	seeds   []string
-	known   []string // as control told
-	leader  string   // where the last answer pointed
-	sess    *wire.Session
-	found   bool          // there has been a session
-	changed chan struct{} // closed when sess changes
+	mu     sync.Mutex
+	seeds  []string
+	known  []string // as control told
+	leader string   // where the last answer pointed
+	sess   *wire.Session
+	found  bool // there has been a session
+	// suspects are candidates that didn't answer, until when they come last.
+	suspects map[string]time.Time
+	changed  chan struct{} // closed when sess changes
 }
 
 // New returns a Finder that begins with the addresses in seeds. up, which may be
 // nil, runs for each session to a leader; the session is given up when up returns.
 func New(id wire.Identity, seeds []string, log *zap.Logger, up func(ctx context.Context, s *wire.Session)) *Finder {
-	return &Finder{id: id, mux: wire.NewMux(log), log: log, up: up, seeds: seeds, changed: make(chan struct{})}
+	return &Finder{
+		id: id, mux: wire.NewMux(log), log: log, up: up, seeds: seeds,
+		changed: make(chan struct{}), suspects: map[string]time.Time{},
+	}
 }
 
 // SetSeeds replaces the addresses from the settings.
@@ -95,7 +102,10 @@
 		add(addr)
 	}
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	if f.leader != "" {
+	now := time.Now()
+	suspect := func(addr string) bool { return now.Before(f.suspects[addr]) }
+	slices.SortStableFunc(list, func(a, b string) int { return int(kern.Gauge(suspect(a)) - kern.Gauge(suspect(b))) })
+	if f.leader != "" && !suspect(f.leader) {
 		list = slices.Insert(slices.DeleteFunc(list, func(a string) bool { return a == f.leader }), 0, f.leader)
 	}
 	return list
@@ -104,19 +114,20 @@
 // try asks one control process. If it leads, try stays with it until the session
 // ends, and returns true.
 func (f *Finder) try(ctx context.Context, addr string) bool {
-	d := net.Dialer{Timeout: dialTimeout}
+	deadline := time.Now().Add(tryTimeout)
+	d := net.Dialer{Deadline: deadline}
 	c, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		f.miss(addr, err)
 		return false
 	}
-	s, err := wire.Connect(c, f.id)
+	s, err := wire.ConnectBy(c, f.id, deadline)
 	if err != nil {
 		f.miss(addr, err)
 		return false
 	}
 	defer func() { _ = s.Close() }()
-	rep, err := ask(ctx, s)
+	rep, err := ask(ctx, s, deadline)
 	if err != nil {
 		f.miss(addr, err)
 		return false
@@ -129,18 +140,24 @@
 	return true
 }
 
-func ask(ctx context.Context, s *wire.Session) (*wire.LeaderReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+func ask(ctx context.Context, s *wire.Session, deadline time.Time) (*wire.LeaderReply, error) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	rep := &wire.LeaderReply{}
 	return rep, s.Call(ctx, wire.MethodLeader, &wire.LeaderRequest{}, rep)
 }
 
-// miss forgets an address as the leader's if it doesn't answer.
+// miss notes that a candidate didn't answer.
 func (f *Finder) miss(addr string, err error) {
 	f.log.Debug("control process not reached", zap.String("addr", addr), zap.Error(err))
+	f.suspect(addr)
+}
+
+// suspect lets an address be tried last for a while, whoever points to it.
+func (f *Finder) suspect(addr string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.suspects[addr] = time.Now().Add(suspectFor)
 	if f.leader == addr {
 		f.leader = ""
 	}
@@ -174,6 +191,7 @@
 		_ = f.mux.Serve(ctx, s)
 	}
 	f.set(nil)
+	f.suspect(addr)
 	f.log.Warn("leader lost", zap.String("addr", addr))
 }
 
--- /dev/null
+++ b/internal/seek/seek_test.go
@@ -0,0 +1,98 @@
+package seek_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/knapweedlug/knapweedlug/internal/kern"
+	"github.com/knapweedlug/knapweedlug/internal/seek"
+	"github.com/knapweedlug/knapweedlug/internal/wire"
+)
+
+func ident(role, name string) wire.Identity {
+	return wire.NewIdentity(kern.Node{Cluster: "c", Name: name}, role, kern.Keys{
+		Self: kern.DeriveKey(nil, name), Role: map[string][]byte{"control": nil, "entry": nil},
+	}, name+"-1")
+}
+
+// control starts a control process that answers who leads.
+func control(t *testing.T, answer func() *wire.LeaderReply) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	mux := wire.NewMux(zap.NewNop())
+	wire.HandleCall(mux, wire.MethodLeader, func(context.Context, wire.Peer, *wire.LeaderRequest) (*wire.LeaderReply, error) {
+		return answer(), nil
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	g.Go(func() error { return wire.NewServer(ident("control", "c"), mux, zap.NewNop(), nil).Serve(ctx, ln) })
+	t.Cleanup(func() {
+		cancel()
+		_ = g.Wait()
+	})
+	return ln.Addr().String()
+}
+
+// frozen starts a listener that takes connections and says nothing.
+func frozen(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	return ln.Addr().String()
+}
+
+func run(t *testing.T, f *seek.Finder) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	g.Go(func() error { return f.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		_ = g.Wait()
+	})
+}
+
+func TestLeaderIsFoundThroughOthers(t *testing.T) {
+	leader := control(t, func() *wire.LeaderReply { return &wire.LeaderReply{Leading: true} })
+	other := control(t, func() *wire.LeaderReply { return &wire.LeaderReply{Leader: leader, Members: []string{leader}} })
+	f := seek.New(ident("entry", "e"), []string{"127.0.0.1:1", other}, zap.NewNop(), nil)
+	run(t, f)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	_, err := f.Session(ctx)
+	require.NoError(t, err)
+	require.Contains(t, f.Known(), leader)
+}
+
+// A leader that is frozen takes connections and answers nothing. Whoever looks
+// for its successor must not wait for it.
+func TestFrozenControlProcessHoldsNobodyUp(t *testing.T) {
+	dead := frozen(t)
+	leader := control(t, func() *wire.LeaderReply { return &wire.LeaderReply{Leading: true} })
+	// Others still believe in the frozen one.
+	other := control(t, func() *wire.LeaderReply { return &wire.LeaderReply{Leader: dead, Members: []string{dead, leader}} })
+	for range 5 {
+		f := seek.New(ident("entry", "e"), []string{other, dead, leader}, zap.NewNop(), nil)
+		run(t, f)
+		ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+		_, err := f.Session(ctx)
+		cancel()
+		require.NoError(t, err, "the users' calls wait for three seconds at most")
+	}
+}
+
+func TestNoLeaderIsSaidSo(t *testing.T) {
+	f := seek.New(ident("entry", "e"), []string{frozen(t)}, zap.NewNop(), nil)
+	run(t, f)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := f.Session(ctx)
+	require.ErrorIs(t, err, seek.ErrNone)
+}
--- a/internal/wire/sess.go
+++ b/internal/wire/sess.go
@@ -55,13 +55,18 @@
 // Connect proves this process over c and returns the session. c is closed on
 // error.
 func Connect(c net.Conn, id Identity) (*Session, error) {
-	return start(c, id, handshakeClient, yamux.Client)
+	return ConnectBy(c, id, time.Now().Add(handshakeTimeout))
+}
+
+// ConnectBy is Connect with a deadline for the peer's proof.
+func ConnectBy(c net.Conn, id Identity, deadline time.Time) (*Session, error) {
+	return start(c, id, deadline, handshakeClient, yamux.Client)
 }
 
 // Accept checks the peer that dialled c and returns the session. c is closed
 // on error.
 func Accept(c net.Conn, id Identity) (*Session, error) {
-	return start(c, id, handshakeServer, yamux.Server)
+	return start(c, id, time.Now().Add(handshakeTimeout), handshakeServer, yamux.Server)
 }
 
 type (
@@ -69,8 +74,8 @@
 	muxFunc       func(io.ReadWriteCloser, *yamux.Config) (*yamux.Session, error)
 )
 
-func start(c net.Conn, id Identity, shake handshakeFunc, mux muxFunc) (*Session, error) {
-	_ = c.SetDeadline(time.Now().Add(handshakeTimeout))
+func start(c net.Conn, id Identity, deadline time.Time, shake handshakeFunc, mux muxFunc) (*Session, error) {
+	_ = c.SetDeadline(deadline)
 	peer, err := shake(c, id)
 	if err != nil {
 		_ = c.Close()
