--- a/internal/jobctl/control.go
+++ b/internal/jobctl/control.go
@@ -216,9 +216,13 @@
 	return nil
 }
 
-// Drain implements kern.Runner. The other replicas go on; calls that wait for
-// commit are short.
-func (c *Control) Drain(context.Context) error { return nil }
+// Drain implements kern.Runner. A leader lets the others elect a new one at once.
+func (c *Control) Drain(context.Context) error {
+	if c.node != nil {
+		c.node.Resign()
+	}
+	return nil
+}
 
 // Reload implements kern.Reloader. Only the seeds can change.
 func (c *Control) Reload(s kern.Settings) {
--- a/internal/replog/core.go
+++ b/internal/replog/core.go
@@ -202,6 +202,8 @@
 		c.stepAppend(m)
 	case wire.LogKind_LOG_KIND_APPEND_REPLY:
 		c.stepAppendReply(m)
+	case wire.LogKind_LOG_KIND_RELEASE:
+		c.stepRelease(m)
 	case wire.LogKind_LOG_KIND_CHUNK:
 		c.stepChunk(m)
 	case wire.LogKind_LOG_KIND_CHUNK_REPLY:
--- a/internal/replog/node_test.go
+++ b/internal/replog/node_test.go
@@ -263,6 +263,26 @@
 	})
 }
 
+// A leader that resigns is followed by another one long before its silence
+// would have been noticed, and never answers reads again in its term.
+func TestLeaderResigns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, "a", "b", "c")
+		b.propose("x")
+		for range 5 {
+			old := b.leader()
+			term := b.node(old).Status().Term
+			began := time.Now()
+			b.node(old).Resign()
+			require.ErrorIs(t, b.node(old).View(t.Context(), func() error { return nil }), replog.ErrNotLeader)
+			next := b.leader(old)
+			require.Less(t, time.Since(began), replog.DefaultElection/2)
+			require.Greater(t, b.node(next).Status().Term, term)
+			b.propose("y")
+		}
+	})
+}
+
 func TestClusterElectsAndCommits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, "a", "b", "c")
