--- a/internal/jobagt/agent.go
+++ b/internal/jobagt/agent.go
@@ -52,6 +52,7 @@
 	worker  jobs.Worker
 	listed  bool
 	lost    bool
+	misses  int       // holds in a row without an answer
 	refused int       // holds in a row that met no listener
 	since   time.Time // of the first of them
 	listing Listing
--- a/internal/jobagt/agent_test.go
+++ b/internal/jobagt/agent_test.go
@@ -62,6 +62,24 @@
 	return append([]string(nil), s.got...)
 }
 
+// One answer that comes late says little, two say that the worker is in trouble.
+func TestSilentWorkerIsGivenNothing(t *testing.T) {
+	a, _ := newAgent(t, &scripted{})
+	miss := func() *wire.HostReport {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.missed(one, errMute)
+		return a.report()
+	}
+	require.True(t, miss().Listed)
+	rep := miss()
+	require.False(t, rep.Listed)
+	require.Zero(t, rep.Clock)
+	require.False(t, rep.Lost)
+	a.list(Listing{Worker: one, Clock: 1500})
+	require.True(t, a.report().Listed)
+}
+
 // clock is set by hand.
 type clock struct {
 	mu sync.Mutex
@@ -222,6 +240,7 @@
 		clk.pass(time.Second)
 	}
 	require.Zero(t, a.report().Clock, "nothing extends the lease of a worker that doesn't answer")
+	require.False(t, a.report().Listed, "it is given nothing new")
 	a.Leave("other")
 	require.False(t, miss(ErrNoListener))
 	a.Leave("w")
--- a/internal/jobagt/watch.go
+++ b/internal/jobagt/watch.go
@@ -91,6 +91,14 @@
 	if l.worker != told || l.lost {
 		return
 	}
+	usable := l.usable()
+	l.misses++
+	defer func() {
+		if l.usable() != usable {
+			a.log.Warn("worker given nothing until it answers", zap.String("worker", told.Name), zap.Error(err))
+			a.notify()
+		}
+	}()
 	switch {
 	case errors.Is(err, ErrNoListener):
 		now := a.env.Boot.Now()
@@ -113,6 +121,13 @@
 	a.notify()
 }
 
+// missesBorne is how many holds in a row may go without an answer before the
+// worker is given nothing new. A link that loses a packet costs one.
+const missesBorne = 1
+
+// usable tells whether the worker shows what is on it.
+func (l *life) usable() bool { return l.listed && l.refused == 0 && l.misses <= missesBorne }
+
 // listed takes in a worker's list. The caller holds mu.
 func (a *Agent) listed(list Listing) {
 	l := &a.life
@@ -121,9 +136,9 @@
 			zap.String("before", l.worker.Name), zap.Int("runs", len(list.Runs)), zap.Int("ends", len(list.Ends)))
 		*l = life{worker: list.Worker, runs: map[key]*run{}}
 	}
-	first := !l.listed
+	first := !l.usable()
 	ended := len(list.Ends) > 0 && (len(l.listing.Ends) == 0 || list.Ends[len(list.Ends)-1].Number > l.listing.Ends[len(l.listing.Ends)-1].Number)
-	l.listed, l.refused, l.lost = true, 0, false
+	l.listed, l.misses, l.refused, l.lost = true, 0, 0, false
 	l.listing = list
 	l.count++
 	settled := l.settle(a.log)
--- a/internal/jobctl/hosts.go
+++ b/internal/jobctl/hosts.go
@@ -280,8 +280,9 @@
 	case ok && h.rep != nil && h.worker != w && h.rep.Listed:
 		return "another one is in its place"
 	case l.leases[w].IsZero():
-		// Known from the log only: granted before this term at the latest.
-		l.leases[w] = l.c.cfg.leaseEnds(l.began)
+		// Nothing was granted under this leader yet; what an earlier one granted
+		// ends no later than this.
+		l.leases[w] = l.c.cfg.leaseEnds(now)
 	case now.After(l.leases[w]):
 		return "lease ended"
 	}
