--- a/internal/allot/input.go
+++ b/internal/allot/input.go
@@ -163,6 +163,12 @@
 	Step    int
 	Verdict Verdict
 	Tasks   int
+	// What it was decided from.
+	Workers  int           // that may run its tasks
+	Free     int64         // accelerators free on them
+	Work     time.Duration // expected of each task
+	Deadline time.Time
+	Sure     bool
 }
 
 // Plan is what to do now.
--- a/internal/allot/plan.go
+++ b/internal/allot/plan.go
@@ -169,7 +169,14 @@
 }
 
 func (p *planner) rule(n *Need, v Verdict, tasks int) {
-	p.plan.Rulings = append(p.plan.Rulings, Ruling{Job: n.Job, Step: n.Step, Verdict: v, Tasks: tasks})
+	r := Ruling{Job: n.Job, Step: n.Step, Verdict: v, Tasks: tasks, Work: n.Work, Deadline: n.Deadline, Sure: n.Sure}
+	for i := range p.slots {
+		if s := &p.slots[i]; n.allowed(s.w) {
+			r.Workers++
+			r.Free += max(0, s.free().Accels)
+		}
+	}
+	p.plan.Rulings = append(p.plan.Rulings, r)
 }
 
 // allowed tells whether tasks of a need may run on a worker at all.
--- a/internal/jobctl/lead.go
+++ b/internal/jobctl/lead.go
@@ -263,6 +263,7 @@
 		}
 		l.rulings[r.Job] = r.Verdict
 		l.log.Info("ruling", zap.String("request", r.Job), zap.Int("step", r.Step), zap.String("outcome", string(r.Verdict)),
-			zap.Int("tasks", r.Tasks), zap.Uint64("term", l.term))
+			zap.Int("tasks", r.Tasks), zap.Int("workers", r.Workers), zap.Int64("free", r.Free), zap.Duration("work", r.Work),
+			zap.Duration("left", r.Deadline.Sub(l.now())), zap.Bool("sure", r.Sure), zap.Uint64("term", l.term))
 	}
 }
