--- a/internal/jobagt/agent.go
+++ b/internal/jobagt/agent.go
@@ -29,14 +29,15 @@
 
 // Agent is the role at work.
 type Agent struct {
-	env    *kern.Env
-	cfg    *Settings
-	finder *seek.Finder
-	worker Worker
-	ln     net.Listener
-	log    *zap.Logger
-	group  *errgroup.Group // of orders under way, for the time of Run
-	ctx    context.Context // of Run: orders outlive the stream that brought them
+	env      *kern.Env
+	cfg      *Settings
+	finder   *seek.Finder
+	platform Platform
+	worker   Worker
+	ln       net.Listener
+	log      *zap.Logger
+	group    *errgroup.Group // of orders under way, for the time of Run
+	ctx      context.Context // of Run: orders outlive the stream that brought them
 
 	mu      sync.Mutex
 	told    Announcement // the last one
@@ -71,13 +72,13 @@
 
 // New opens the listener.
 func New(env *kern.Env, cfg *Settings) (*Agent, error) {
-	p := currentPlatform()
-	if p == nil {
+	p, ok := Platforms.Get()
+	if !ok {
 		return nil, errors.New("jobagent: this build speaks with no workers")
 	}
 	id := wire.NewIdentity(env.Node, RoleName, env.Keys, uuid.NewString())
 	a := &Agent{
-		env: env, cfg: cfg, worker: p.Worker(cfg.Worker), log: env.Log,
+		env: env, cfg: cfg, platform: p, worker: p.Worker(cfg.Worker), log: env.Log,
 		changed: make(chan struct{}), poke: make(chan struct{}, 1),
 	}
 	a.finder = seek.New(id, jobctl.WithPort(cfg.Seeds, cfg.Port), env.Log, a.attend)
@@ -96,7 +97,7 @@
 	g.Go(func() error { return a.watch(ctx) })
 	g.Go(func() error {
 		srv := &http.Server{
-			Handler: currentPlatform().Handler(a, a.log), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader,
+			Handler: a.platform.Handler(a, a.log), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader,
 			ErrorLog: zap.NewStdLog(a.log),
 		}
 		stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
--- a/internal/jobagt/worker.go
+++ b/internal/jobagt/worker.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/knapweedlug/knapweedlug/internal/jobs"
+	"github.com/knapweedlug/knapweedlug/internal/kern"
 )
 
 // Sentinel errors of a worker.
@@ -109,20 +109,5 @@
 	Handler(a Announcements, log *zap.Logger) http.Handler
 }
 
-var platform struct {
-	sync.Mutex
-	Platform
-}
-
-// UsePlatform sets how workers are spoken to. It is called from init functions.
-func UsePlatform(p Platform) {
-	platform.Lock()
-	defer platform.Unlock()
-	platform.Platform = p
-}
-
-func currentPlatform() Platform {
-	platform.Lock()
-	defer platform.Unlock()
-	return platform.Platform
-}
+// Platforms holds how workers are spoken to.
+var Platforms kern.Slot[Platform]
--- a/internal/jobctl/control.go
+++ b/internal/jobctl/control.go
@@ -48,6 +48,7 @@
 	server *wire.Server
 	ln     net.Listener
 	desk   net.Listener
+	speaks Desk
 	meters meters
 
 	mu   sync.Mutex
@@ -56,7 +57,8 @@
 
 // New opens the data folder and the listeners.
 func New(env *kern.Env, cfg *Settings) (*Control, error) {
-	if currentDesk() == nil {
+	desk, ok := Desks.Get()
+	if !ok {
 		return nil, errors.New("jobctl: this build speaks no operators' protocol")
 	}
 	node := env.Node
@@ -64,7 +66,7 @@
 	id := wire.NewIdentity(node, RoleName, env.Keys, uuid.NewString())
 	id.Key = kern.DeriveKey(env.Keys.Role[RoleName], node.Name)
 	c := &Control{
-		env: env, cfg: cfg, id: id, state: jobs.New(), peers: peers.New(env.Log),
+		env: env, cfg: cfg, id: id, speaks: desk, state: jobs.New(), peers: peers.New(env.Log),
 		mux: wire.NewMux(env.Log), meters: newMeters(env.Metrics),
 	}
 	c.finder = seek.New(id, cfg.replicas(), env.Log, nil)
@@ -203,7 +205,7 @@
 
 func (c *Control) serveDesk(ctx context.Context) error {
 	srv := &http.Server{
-		Handler:           currentDesk().Handler(c, c.env.Log),
+		Handler:           c.speaks.Handler(c, c.env.Log),
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          zap.NewStdLog(c.env.Log),
--- a/internal/jobctl/control_test.go
+++ b/internal/jobctl/control_test.go
@@ -27,7 +27,7 @@
 
 func (noDesk) Handler(jobctl.Operations, *zap.Logger) http.Handler { return http.NotFoundHandler() }
 
-func init() { jobctl.UseDesk(noDesk{}) }
+func init() { jobctl.Desks.Put(noDesk{}) }
 
 type wall struct{}
 
--- a/internal/jobctl/desk.go
+++ b/internal/jobctl/desk.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/knapweedlug/knapweedlug/internal/jobs"
+	"github.com/knapweedlug/knapweedlug/internal/kern"
 )
 
 // ErrUnavailable means that nothing can be said now; the call may be repeated,
@@ -30,21 +30,5 @@
 	Handler(ops Operations, log *zap.Logger) http.Handler
 }
 
-var desk struct {
-	sync.Mutex
-	Desk
-}
-
-// UseDesk sets the protocol that operators speak. It is called from init
-// functions.
-func UseDesk(d Desk) {
-	desk.Lock()
-	defer desk.Unlock()
-	desk.Desk = d
-}
-
-func currentDesk() Desk {
-	desk.Lock()
-	defer desk.Unlock()
-	return desk.Desk
-}
+// Desks holds the protocol that operators speak.
+var Desks kern.Slot[Desk]
--- a/internal/jobent/entry.go
+++ b/internal/jobent/entry.go
@@ -48,6 +48,7 @@
 	ln      net.Listener
 	ready   net.Listener
 	srv     *http.Server
+	front   Front
 	latency tally.Histogram
 
 	leaving atomic.Bool
@@ -56,12 +57,13 @@
 
 // New opens the listeners.
 func New(env *kern.Env, cfg *Settings) (*Entry, error) {
-	if currentFront() == nil {
+	front, ok := Fronts.Get()
+	if !ok {
 		return nil, errors.New("jobentry: this build speaks no callers' protocol")
 	}
 	id := wire.NewIdentity(env.Node, RoleName, env.Keys, uuid.NewString())
 	e := &Entry{
-		env: env, cfg: cfg, finder: seek.New(id, jobctl.WithPort(cfg.Seeds, cfg.Port), env.Log, nil),
+		env: env, cfg: cfg, front: front, finder: seek.New(id, jobctl.WithPort(cfg.Seeds, cfg.Port), env.Log, nil),
 		latency: env.Metrics.Histogram("call_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)),
 	}
 	e.missing.Store(env.Boot.Now().UnixNano())
@@ -73,7 +75,7 @@
 		return nil, errors.Wrap(err, "jobentry: listen for readiness")
 	}
 	e.srv = &http.Server{
-		Handler: currentFront().Handler(e, cfg.Body, env.Log), ReadHeaderTimeout: headerTimeout,
+		Handler: front.Handler(e, cfg.Body, env.Log), ReadHeaderTimeout: headerTimeout,
 		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ErrorLog: zap.NewStdLog(env.Log),
 	}
 	return e, nil
@@ -85,7 +87,7 @@
 	g.Go(func() error { return e.finder.Run(ctx) })
 	g.Go(func() error { return serve(ctx, e.srv, e.ln) })
 	g.Go(func() error {
-		srv := &http.Server{Handler: currentFront().ReadyHandler(e), ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(e.env.Log)}
+		srv := &http.Server{Handler: e.front.ReadyHandler(e), ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(e.env.Log)}
 		return serve(ctx, srv, e.ready)
 	})
 	return g.Wait()
--- a/internal/jobent/front.go
+++ b/internal/jobent/front.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/knapweedlug/knapweedlug/internal/jobs"
+	"github.com/knapweedlug/knapweedlug/internal/kern"
 )
 
 // Request is a caller's call.
@@ -45,21 +45,5 @@
 	ReadyHandler(c Calls) http.Handler
 }
 
-var front struct {
-	sync.Mutex
-	Front
-}
-
-// UseFront sets the protocol that callers speak. It is called from init
-// functions.
-func UseFront(f Front) {
-	front.Lock()
-	defer front.Unlock()
-	front.Front = f
-}
-
-func currentFront() Front {
-	front.Lock()
-	defer front.Unlock()
-	return front.Front
-}
+// Fronts holds the protocol that callers speak.
+var Fronts kern.Slot[Front]
