--- a/internal/jobctl/call.go
+++ b/internal/jobctl/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"reflect"
 	"strings"
 	"time"
 
@@ -192,6 +193,9 @@
 	if err := l.view(ctx, func(v jobs.View) { t, rep = find(v.Config(), req) }); err != nil {
 		return nil, nil, err
 	}
+	if rep != nil && req.Again && l.held(ctx, t.id, spec) {
+		return reply(jobs.Accepted, "by an earlier try"), t.fields(), nil
+	}
 	if rep != nil {
 		return rep, t.fields(), nil
 	}
@@ -218,6 +222,16 @@
 	return reply(jobs.Accepted, string(res.Phase)), fields, nil
 }
 
+// held tells whether a job is stored just as it is handed in.
+func (l *lead) held(ctx context.Context, id string, spec *jobs.Spec) bool {
+	found := false
+	err := l.view(ctx, func(v jobs.View) {
+		j, ok := v.Job(id)
+		found = ok && reflect.DeepEqual(j.Spec, spec)
+	})
+	return err == nil && found
+}
+
 // specFields describe a job in the log.
 func specFields(s *jobs.Spec) []zap.Field {
 	st := s.Steps[0]
--- a/internal/jobctl/control_test.go
+++ b/internal/jobctl/control_test.go
@@ -39,6 +39,8 @@
 	c    *jobctl.Control
 	env  *kern.Env
 	addr string
+
+	again bool // calls are told to be second tries
 }
 
 func freeAddr(t *testing.T) string {
@@ -107,7 +109,7 @@
 // call makes a caller's call.
 func (s *single) call(sess *wire.Session, kind jobs.Kind, path string, spec *jobs.Spec) *wire.JobReply {
 	s.t.Helper()
-	req := &wire.JobCall{Kind: string(kind), Host: "h", Path: path, Key: "k"}
+	req := &wire.JobCall{Kind: string(kind), Host: "h", Path: path, Key: "k", Again: s.again}
 	if spec != nil {
 		body, err := json.Marshal(spec)
 		require.NoError(s.t, err)
@@ -186,6 +188,24 @@
 	require.Equal(t, string(jobs.NoQueue), s.call(caller, jobs.CallCount, "/none/", nil).Outcome)
 }
 
+// A call whose first try was committed and not answered stays accepted, though
+// its key is taken away before the second try. A new call with that key isn't.
+func TestKeyTakenAwayBetweenTries(t *testing.T) {
+	s := startSingle(t)
+	caller := s.dial("jobentry", "e1")
+	require.Equal(t, string(jobs.Accepted), s.call(caller, jobs.CallSubmit, "/q/"+idA, oneTask()).Outcome)
+	next := config(2)
+	next.Teams[0].Keys = nil
+	require.NoError(t, s.c.PutConfig(t.Context(), next))
+	require.Equal(t, string(jobs.NoKey), s.call(caller, jobs.CallSubmit, "/q/"+idA, oneTask()).Outcome)
+	s.again = true
+	require.Equal(t, string(jobs.Accepted), s.call(caller, jobs.CallSubmit, "/q/"+idA, oneTask()).Outcome)
+	require.Equal(t, string(jobs.NoKey), s.call(caller, jobs.CallSubmit, "/q/"+idB, oneTask()).Outcome)
+	other := oneTask()
+	other.Text = "y"
+	require.Equal(t, string(jobs.NoKey), s.call(caller, jobs.CallSubmit, "/q/"+idA, other).Outcome)
+}
+
 // An agent that has just restarted doesn't know its worker yet. Orders wait for
 // its first report, or they would be lost.
 func TestOrdersWaitForTheFirstReport(t *testing.T) {
--- a/internal/jobent/entry.go
+++ b/internal/jobent/entry.go
@@ -178,9 +178,10 @@
 			break
 		}
 		tries++
+		req.Again = sent
 		rep, err := try(ctx, s, req)
 		if err == nil {
-			return answerOf(rep, e.env.Boot.Now()), tries, nil
+			return truthful(jobs.Kind(req.Kind), answerOf(rep, e.env.Boot.Now()), sent), tries, nil
 		}
 		last = err
 		if ctx.Err() == nil {
@@ -190,10 +191,8 @@
 		sent = true
 		kern.Sleep(ctx, tryPause)
 	}
-	if sent {
-		return Answer{Outcome: jobs.Uncertain}, tries, last
-	}
-	return Answer{Outcome: jobs.Unavailable, RetryAt: e.env.Boot.Now().Add(retryAfter)}, tries, last
+	a := Answer{Outcome: jobs.Unavailable, RetryAt: e.env.Boot.Now().Add(retryAfter)}
+	return truthful(jobs.Kind(req.Kind), a, sent), tries, last
 }
 
 func try(ctx context.Context, s *wire.Session, req *wire.JobCall) (*wire.JobReply, error) {
@@ -203,6 +202,16 @@
 	return rep, s.Call(ctx, wire.MethodJob, req, rep)
 }
 
+// truthful returns the answer as far as it may be given. Once a try was sent whose
+// answer is missing, what changes something can't be told as not done: that try
+// may have been carried out, or may be yet.
+func truthful(kind jobs.Kind, a Answer, sent bool) Answer {
+	if !sent || a.Outcome == jobs.Accepted || a.Outcome == jobs.Stopped || kind == jobs.CallState || kind == jobs.CallCount {
+		return a
+	}
+	return Answer{Outcome: jobs.Uncertain}
+}
+
 func answerOf(rep *wire.JobReply, now time.Time) Answer {
 	a := Answer{Outcome: jobs.Outcome(rep.Outcome), Phase: jobs.Phase(rep.Detail), Count: int(rep.Count)}
 	if a.Outcome == jobs.Refused || a.Outcome == jobs.NoConfig {
