--- /dev/null
+++ b/cmd/knapstat/policies.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/knapweedlug/knapweedlug/internal/sched/drive"
+	"github.com/knapweedlug/knapweedlug/pkg/model"
+)
+
+const policiesHelp = `Runs the scheduling decisions over arrivals drawn from seeds, once for each
+policy, and prints the median and the spread over the seeds. The decisions run
+alone: there is no cluster and no network. Costs are those of this machine.`
+
+// settings are what one comparison runs with.
+type settings struct {
+	fleet   string
+	workers int
+	seeds   int
+	jobs    int
+	level   float64
+	csv     bool
+	only    []string
+}
+
+func newPolicies() *cobra.Command {
+	var set settings
+	cmd := &cobra.Command{
+		Use:   "policies",
+		Short: "Compare placement policies on drawn arrivals",
+		Long:  policiesHelp,
+		Args:  cobra.NoArgs,
+		RunE:  func(cmd *cobra.Command, _ []string) error { return compare(cmd.OutOrStdout(), set) },
+	}
+	f := cmd.Flags()
+	f.StringVar(&set.fleet, "fleet", "today", "fleet: today (10 workers) or planned")
+	f.IntVar(&set.workers, "workers", 13000, "workers of the planned fleet")
+	f.IntVar(&set.seeds, "seeds", 5, "seeds to run")
+	f.IntVar(&set.jobs, "jobs", 2000, "jobs to draw for each seed")
+	f.Float64Var(&set.level, "load", 0.85, "share of the fleet's power that arrives")
+	f.BoolVar(&set.csv, "csv", false, "print CSV, one line for each policy and seed")
+	f.StringSliceVar(&set.only, "policies", nil, "policies to run; all by default")
+	return cmd
+}
+
+func (s settings) fleetAndLoad() ([]model.Worker, drive.Load, error) {
+	load := drive.Load{Jobs: s.jobs, Level: s.level}
+	switch s.fleet {
+	case "today":
+		load.Teams, load.Sizes = 4, drive.TodaySizes
+		return drive.Today(), load, nil
+	case "planned":
+		load.Teams, load.Sizes = 410, drive.PlannedSizes
+		return drive.Planned(s.workers), load, nil
+	}
+	return nil, load, errors.Newf("fleet: %q is neither today nor planned", s.fleet)
+}
+
+func compare(w io.Writer, set settings) error {
+	ws, load, err := set.fleetAndLoad()
+	if err != nil {
+		return err
+	}
+	begin := time.Now()
+	clock := func() time.Duration { return time.Since(begin) }
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	if set.csv {
+		fmt.Fprintln(w, strings.Join(columns(), ","))
+	} else {
+		fmt.Fprintln(t, strings.Join(columns(), "\t"))
+	}
+	for _, p := range drive.Policies() {
+		if len(set.only) > 0 && !slices.Contains(set.only, p.Name) {
+			continue
+		}
+		var rows [][]float64
+		for seed := range set.seeds {
+			load.Seed = uint64(seed + 1)
+			row := values(drive.Run(p.Opt, ws, drive.Draw(load, ws), clock))
+			rows = append(rows, row)
+			if set.csv {
+				fmt.Fprintf(w, "%s,%d%s\n", p.Name, load.Seed, csvRow(row))
+			}
+		}
+		if !set.csv {
+			fmt.Fprintf(t, "%s\t%d%s\n", p.Name, set.seeds, summary(rows))
+		}
+	}
+	return t.Flush()
+}
+
+func columns() []string {
+	return []string{
+		"policy", "seeds", "layout8", "layout16", "layout64", "makespan",
+		"slowdown", "slowp99", "stops", "unended", "p50us", "p99us",
+	}
+}
+
+func values(r drive.Result) []float64 {
+	return []float64{
+		r.Layout[0], r.Layout[1], r.Layout[2], r.Makespan, r.Mean, r.P99,
+		float64(r.Stops), float64(r.Unended), us(r.CostP50), us(r.CostP99),
+	}
+}
+
+func us(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
+
+func csvRow(row []float64) string {
+	var b strings.Builder
+	for _, v := range row {
+		fmt.Fprintf(&b, ",%.4g", v)
+	}
+	return b.String()
+}
+
+// summary prints the median of each column with the lowest and the highest.
+func summary(rows [][]float64) string {
+	var b strings.Builder
+	for c := range rows[0] {
+		col := make([]float64, len(rows))
+		for i, row := range rows {
+			col[i] = row[c]
+		}
+		slices.Sort(col)
+		fmt.Fprintf(&b, "\t%.3g (%.3g-%.3g)", col[len(col)/2], col[0], col[len(col)-1])
+	}
+	return b.String()
+}
--- a/internal/allot/gang.go
+++ b/internal/allot/gang.go
@@ -74,7 +74,7 @@
 		p.rule(n, Started, len(n.Indexes))
 		return
 	case Reclaims:
-		p.evict(n, best.choice.victims)
+		p.evict(n.Job, best.choice.victims)
 		p.claim(n, best.choice)
 	case Held:
 		p.claim(n, best.choice)
--- a/internal/allot/input.go
+++ b/internal/allot/input.go
@@ -58,7 +58,11 @@
 	Speed   float64 // learned, 1 is a sound worker of the usual kind
 	Doubt   float64 // standard deviation of the logarithm of Speed
 	Barred  bool    // draining, out of reach or under suspicion: takes no new tasks
-	Runs    []Run
+	Suspect bool    // a run has failed there lately: takes tasks only if there is nowhere else
+	// Leaves is when the worker ends at the earliest, with all that runs there;
+	// zero if it stays.
+	Leaves time.Time
+	Runs   []Run
 }
 
 // Run is what a worker is busy with.
@@ -140,9 +144,13 @@
 	Worker jobs.Worker
 	Task   jobs.TaskID
 	Run    int
-	For    string // the job that needs the room
+	For    string // the job that needs the room, or Vacated
 }
 
+// Vacated stands in the place of a job that needs room: the run can't end before
+// its worker does.
+const Vacated = "nothing: its worker leaves before it ends"
+
 // Verdict says what became of a need in a plan, for logs and reports.
 type Verdict string
 
--- a/internal/allot/learn.go
+++ b/internal/allot/learn.go
@@ -66,6 +66,7 @@
 	runs   []measure       // the last ones
 	failed map[string]bool // jobs of the failures in a row
 	barred time.Time       // until then it takes nothing new
+	fault  time.Time       // of the last run that failed, if none has been done since
 }
 
 // measure is the length of one run.
@@ -188,6 +189,17 @@
 	return ok && now.Before(s.barred)
 }
 
+// suspectFor is how long a worker is avoided after one failure. If it fails all
+// that it starts, the attempts of a job are soon used up.
+const suspectFor = 4 * time.Second
+
+// Suspect tells whether the last run that ended on a worker has failed a moment
+// ago.
+func (l *Learner) Suspect(w jobs.Worker, now time.Time) bool {
+	s, ok := l.workers[w]
+	return ok && !s.fault.IsZero() && now.Sub(s.fault) < suspectFor
+}
+
 // Outcome is the end of a run, or how it stands, as far as the learner uses it.
 type Outcome struct {
 	Worker jobs.Worker
@@ -207,13 +219,14 @@
 	s := l.standing(o.Worker)
 	switch o.How {
 	case jobs.RunFailed:
-		s.failed[o.Task.Job] = true
+		s.failed[o.Task.Job], s.fault = true, now
 		if len(s.failed) >= strikes {
 			s.barred = now.Add(barFor)
 			clear(s.failed)
 		}
 	case jobs.RunDone:
 		clear(s.failed)
+		s.fault = time.Time{}
 		if o.Whole && o.Took > 0 && o.Factor > 0 {
 			l.ended(o)
 		}
--- a/internal/allot/learn_test.go
+++ b/internal/allot/learn_test.go
@@ -61,6 +61,8 @@
 		l.Ended(allot.Outcome{Worker: w, Task: jobs.TaskID{Job: job}, Queue: "q", How: jobs.RunFailed, Took: time.Second, Factor: 1}, noon)
 	}
 	fail("a")
+	require.True(t, l.Suspect(w, noon), "one failure is reason enough to look elsewhere for a while")
+	require.False(t, l.Suspect(w, noon.Add(time.Minute)))
 	fail("a")
 	require.False(t, l.Barred(w, noon), "a job may fail by its own fault")
 	fail("b")
--- a/internal/allot/plan.go
+++ b/internal/allot/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -14,6 +15,7 @@
 	p := newPlanner(in)
 	needs := slices.Clone(in.Needs)
 	slices.SortStableFunc(needs, func(a, b Need) int { return rank(a, b, in.Now) })
+	p.vacate()
 	for i := range needs {
 		p.spare(&needs[i])
 	}
@@ -24,9 +26,38 @@
 	return p.plan
 }
 
-// spare lets a need avoid the workers on which it failed only as long as others
-// could take it.
+// vacate stops the runs that can't end before their worker does. What they have
+// saved goes on elsewhere, and the rest begins again sooner.
+func (p *planner) vacate() {
+	for i := range p.slots {
+		w := p.slots[i].w
+		if w.Leaves.IsZero() {
+			continue
+		}
+		for _, v := range p.slots[i].victims {
+			if !v.Lasts && !v.group.gone && p.in.Now.Add(v.Left).After(w.Leaves.Add(vacateMargin)) {
+				p.evict(Vacated, []victim{v})
+			}
+		}
+	}
+}
+
+// vacateMargin is by how much a run has to be expected to outlast its worker
+// before it is stopped: workers leave a little later than they say.
+const vacateMargin = 300 * time.Millisecond
+
+// spare lets a need avoid the workers on which it failed, and those on which
+// anything has failed lately, only as long as others could take it.
 func (p *planner) spare(n *Need) {
+	n.Avoid = maps.Clone(n.Avoid)
+	for i := range p.slots {
+		if w := p.slots[i].w; w.Suspect {
+			if n.Avoid == nil {
+				n.Avoid = map[jobs.Worker]bool{}
+			}
+			n.Avoid[w.ID] = true
+		}
+	}
 	if len(n.Avoid) == 0 {
 		return
 	}
--- a/internal/allot/plan_test.go
+++ b/internal/allot/plan_test.go
@@ -204,3 +204,29 @@
 	require.Len(t, p.Stops, 1)
 	require.Equal(t, "narrow", p.Stops[0].Task.Job)
 }
+
+// A run that can't end before its worker leaves is stopped, so that what it has
+// saved goes on elsewhere. One that can goes on.
+func TestLeavingWorkerIsVacated(t *testing.T) {
+	in := allot.Input{Now: noon, Remote: 3, Workers: fleet(2)}
+	busy(&in.Workers[0], "short", 1, 1, 1500*time.Millisecond)
+	busy(&in.Workers[0], "long", 1, 1, 4*time.Second)
+	busy(&in.Workers[1], "long", 1, 1, 4*time.Second)
+	in.Workers[0].Barred, in.Workers[0].Leaves = true, noon.Add(2*time.Second)
+	p := allot.Make(in)
+	require.Len(t, p.Stops, 1)
+	require.Equal(t, "long", p.Stops[0].Task.Job)
+	require.Equal(t, in.Workers[0].ID, p.Stops[0].Worker)
+	require.Equal(t, allot.Vacated, p.Stops[0].For)
+}
+
+// Where something has failed a moment ago, nothing starts as long as others have
+// room, even if those are slower.
+func TestSuspectIsAvoided(t *testing.T) {
+	in := allot.Input{Now: noon, Remote: 3, Workers: fleet(2), Needs: []allot.Need{urgentGang("g", 1, 8)}}
+	in.Workers[0].Suspect, in.Workers[1].Speed = true, 0.9
+	require.Equal(t, in.Workers[1].ID, allot.Make(in).Starts[0].Places[0].Worker)
+	in.Needs[0] = urgentGang("g", 2, 8)
+	in.Needs[0].Compact = false
+	require.Len(t, allot.Make(in).Starts, 1, "one alone can't hold it")
+}
--- a/internal/allot/reclaim.go
+++ b/internal/allot/reclaim.go
@@ -30,11 +30,11 @@
 	return sum
 }
 
-// evict stops runs for a need. The room of those that end with them counts as
+// evict stops runs for a job. The room of those that end with them counts as
 // free soon, too.
-func (p *planner) evict(n *Need, victims []victim) {
+func (p *planner) evict(job string, victims []victim) {
 	for _, v := range victims {
-		p.plan.Stops = append(p.plan.Stops, Stop{Worker: p.slots[v.group.slotOf(v.Run)].w.ID, Task: v.Task, Run: v.Run.Run, For: n.Job})
+		p.plan.Stops = append(p.plan.Stops, Stop{Worker: p.slots[v.group.slotOf(v.Run)].w.ID, Task: v.Task, Run: v.Run.Run, For: job})
 		if v.group.gone {
 			continue
 		}
@@ -181,6 +181,6 @@
 	if !n.Sure && cost(victims) > gain*float64(holds)/float64(len(n.Indexes)) {
 		return 0
 	}
-	p.evict(n, victims)
+	p.evict(n.Job, victims)
 	return holds
 }
--- /dev/null
+++ b/internal/diary/diary_test.go
@@ -0,0 +1,97 @@
+package diary_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedlug/knapweedlug/internal/allot"
+	"github.com/knapweedlug/knapweedlug/internal/diary"
+	"github.com/knapweedlug/knapweedlug/internal/jobs"
+)
+
+const (
+	urgent = "00000000000000aa"
+	batch  = "00000000000000bb"
+)
+
+// lines are a day of two jobs: batch work that makes room for an urgent gang and
+// begins again.
+const lines = `
+no log line
+ 1.0 e1 {"time":"2026-01-01T00:00:00.02Z","msg":"call","role":"jobentry","request":"r1","kind":"submit","outcome":"accepted","took":0.02}
+ 1.0 c1 {"time":"2026-01-01T00:00:00.01Z","msg":"call","role":"jobctl","request":"r1","kind":"submit","outcome":"accepted","job":"00000000000000bb","queue":"q-batch","team":"t","priority":2,"slack":3,"target":3000,"steps":1,"tasks":1,"cpu":2000,"accels":1,"estimate":4000}
+ 1.0 c1 {"time":"2026-01-01T00:00:00Z","msg":"worker seen","role":"jobctl","worker":"w1"}
+ 1.1 c1 {"time":"2026-01-01T00:00:00.1Z","msg":"start","role":"jobctl","request":"00000000000000bb","task":"00000000000000bb.0.0.0","run":1,"worker":"w1","rack":"r1","factor":1}
+ 1.2 h1 {"time":"2026-01-01T00:00:00.2Z","msg":"start answered","role":"jobagent","request":"00000000000000bb","task":"00000000000000bb.0.0.0","run":1,"outcome":"begun"}
+ 2.0 c1 {"time":"2026-01-01T00:00:01Z","msg":"call","role":"jobctl","request":"r2","kind":"submit","outcome":"accepted","job":"00000000000000aa","queue":"q-urgent","team":"t","priority":0,"slack":1.5,"target":250,"steps":1,"tasks":1,"cpu":2000,"accels":8,"estimate":2000}
+ 2.0 c1 {"time":"2026-01-01T00:00:01.01Z","msg":"ruling","role":"jobctl","request":"00000000000000aa","outcome":"reclaims"}
+ 2.3 c1 {"time":"2026-01-01T00:00:01.2Z","msg":"end","role":"jobctl","request":"00000000000000bb","task":"00000000000000bb.0.0.0","run":1,"worker":"w1","outcome":"stopped","madeway":"00000000000000aa"}
+ 2.3 c1 {"time":"2026-01-01T00:00:01.25Z","msg":"start","role":"jobctl","request":"00000000000000aa","task":"00000000000000aa.0.0.0","run":1,"worker":"w1","rack":"r1","factor":1}
+ 2.3 h1 {"time":"2026-01-01T00:00:01.25Z","msg":"start answered","role":"jobagent","request":"00000000000000aa","task":"00000000000000aa.0.0.0","run":1,"outcome":"begun"}
+ 4.3 c1 {"time":"2026-01-01T00:00:03.25Z","msg":"end","role":"jobctl","request":"00000000000000aa","task":"00000000000000aa.0.0.0","run":1,"worker":"w1","outcome":"done"}
+ 4.4 c1 {"time":"2026-01-01T00:00:03.3Z","msg":"job ended","role":"jobctl","request":"00000000000000aa","outcome":"complete"}
+ 4.4 c1 {"time":"2026-01-01T00:00:03.3Z","msg":"start","role":"jobctl","request":"00000000000000bb","task":"00000000000000bb.0.0.0","run":2,"worker":"w1","rack":"r1","factor":1}
+ 4.4 h1 {"time":"2026-01-01T00:00:03.3Z","msg":"start answered","role":"jobagent","request":"00000000000000bb","task":"00000000000000bb.0.0.0","run":2,"outcome":"begun"}
+ 8.4 c1 {"time":"2026-01-01T00:00:07.3Z","msg":"end","role":"jobctl","request":"00000000000000bb","task":"00000000000000bb.0.0.0","run":2,"worker":"w1","outcome":"done"}
+ 8.5 c1 {"time":"2026-01-01T00:00:07.4Z","msg":"job ended","role":"jobctl","request":"00000000000000bb","outcome":"complete"}
+ 9 c1 {"time":"half a li`
+
+func read(t *testing.T) *diary.Day {
+	t.Helper()
+	d, err := diary.Read(strings.NewReader(lines))
+	require.NoError(t, err)
+	return d
+}
+
+func TestRead(t *testing.T) {
+	d := read(t)
+	require.Equal(t, 1, d.Skipped)
+	require.Len(t, d.Jobs, 2)
+	b, u := d.Jobs[0], d.Jobs[1]
+	require.Equal(t, []string{batch, urgent}, []string{b.ID, u.ID})
+	require.Len(t, b.Runs, 2)
+	require.Equal(t, jobs.RunStopped, b.Runs[0].How)
+	require.Equal(t, urgent, b.Runs[0].MadeWay)
+	require.Equal(t, jobs.Complete, u.Phase)
+	require.Equal(t, 1, u.Waits[allot.Reclaims])
+	_, err := diary.Read(strings.NewReader("nothing\n{}\n"))
+	require.ErrorIs(t, err, diary.ErrEmpty)
+}
+
+func TestReport(t *testing.T) {
+	var out bytes.Buffer
+	require.NoError(t, read(t).Report(&out))
+	text := strings.Join(strings.Fields(out.String()), " ")
+	// One core-second and one accelerator's, for a second.
+	require.Contains(t, text, "q-batch 2 1 1 0 0 0 2 1 10 0.02 0.02 0.09 0.09 0.10 0.10 4.00 4.00 3.20 3.20 0.10 0.10")
+	require.Contains(t, text, "q-urgent 0 1 1 0 0 0 1 0 0 - 0.25 0.25")
+	require.Contains(t, text, urgent+" q-urgent 1 8 2.30 0.25 1 done 1 reclaims 1")
+}
+
+func TestChart(t *testing.T) {
+	var out bytes.Buffer
+	read(t).Chart(&out)
+	require.Equal(t, 2, strings.Count(out.String(), "fill:none;stroke:"+"#7f8c8d"), "the run that came to nothing, by worker and by job")
+}
+
+func TestReplay(t *testing.T) {
+	f := diary.Fleet{
+		Host: allot.Room{CPU: 32000, Memory: 1000, Accels: 8}, Remote: 3,
+		Worth: map[string]float64{"q-urgent": 4}, Late: map[string]float64{"q-urgent": 1},
+	}
+	d := read(t).Replay(f)
+	require.Len(t, d.Workers, 1)
+	require.Len(t, d.Jobs, 2)
+	require.Equal(t, 4.0, d.Jobs[1].Worth)
+	require.InDelta(t, 4.0, d.Jobs[0].Work.Seconds(), 0.5)
+	alone, room := diary.Bound(d, "")
+	require.Equal(t, 1.0, alone)
+	require.InDelta(t, 1.0, room, 0.01)
+	var out bytes.Buffer
+	require.NoError(t, diary.Compare(&out, d, 20*time.Second))
+	require.Contains(t, out.String(), "first come")
+}
--- a/internal/jobagt/agent.go
+++ b/internal/jobagt/agent.go
@@ -41,6 +41,7 @@
 
 	mu      sync.Mutex
 	told    Announcement // the last one
+	leaves  time.Time    // when its worker ends at the earliest, as it said; zero if it stays
 	left    bool         // that worker has said that it ends
 	life    life
 	term    uint64
@@ -163,7 +164,10 @@
 			zap.Int64("seq", n.Seq), zap.Int64("newest", old.Seq))
 		return
 	}
-	a.told = n
+	a.told, a.leaves = n, time.Time{}
+	if n.Draining && n.RemainMs > 0 {
+		a.leaves = a.env.Boot.Now().Add(time.Duration(n.RemainMs) * time.Millisecond)
+	}
 	if n.Worker != old.Worker || n.Draining != old.Draining {
 		a.log.Info("worker announced", zap.String("worker", n.Worker.Name), zap.Int64("born", n.Worker.Born), zap.Int64("seq", n.Seq),
 			zap.Bool("draining", n.Draining), zap.Int64("remain", n.RemainMs), zap.String("service", n.Service))
--- a/internal/jobagt/attend.go
+++ b/internal/jobagt/attend.go
@@ -66,6 +66,15 @@
 	}
 }
 
+// remain returns for how long a worker that drains goes on at least, in
+// milliseconds, 0 if it hasn't said. The caller holds mu.
+func (a *Agent) remain() int64 {
+	if a.leaves.IsZero() {
+		return 0
+	}
+	return max(1, a.leaves.Sub(a.env.Boot.Now()).Milliseconds())
+}
+
 // report returns what there is to tell, nil before the worker has shown itself.
 // The caller holds mu.
 func (a *Agent) report() *wire.HostReport {
@@ -75,7 +84,7 @@
 	l := &a.life
 	rep := &wire.HostReport{
 		Term: a.term, Worker: a.told.Worker.Name, Born: a.told.Worker.Born, Service: a.told.Service, Version: a.told.Version,
-		Draining: a.told.Draining, Remainms: a.told.RemainMs, Cpu: a.told.CPU, Memory: a.told.Memory, Accels: a.told.Accels,
+		Draining: a.told.Draining, Remainms: a.remain(), Cpu: a.told.CPU, Memory: a.told.Memory, Accels: a.told.Accels,
 		Labels: a.told.Labels, Rack: a.told.Rack, Seq: a.told.Seq, Coldms: uint32(max(0, a.told.ColdMs)),
 	}
 	if l.worker != a.told.Worker {
--- a/internal/jobctl/call.go
+++ b/internal/jobctl/call.go
@@ -211,6 +211,7 @@
 		Attempts: q.Attempts, Slack: q.Slack, TargetMs: q.TargetMs, Spec: spec,
 	}})
 	fields := append(t.fields(), specFields(spec)...)
+	fields = append(fields, zap.Int("priority", q.Priority), zap.Float64("slack", q.Slack), zap.Int64("target", q.TargetMs))
 	switch {
 	case err != nil:
 		return nil, fields, err
--- a/internal/jobctl/input.go
+++ b/internal/jobctl/input.go
@@ -86,6 +86,10 @@
 			Barred: h.out == nil || h.rep.Draining || h.rep.Lost || now.Sub(h.heard) > quiet ||
 				l.learner.Barred(h.worker, now),
 		}
+		w.Suspect = l.learner.Suspect(h.worker, now)
+		if h.rep.Draining && h.rep.Remainms > 0 {
+			w.Leaves = h.heard.Add(time.Duration(h.rep.Remainms) * time.Millisecond)
+		}
 		if held, ok := v.Held(h.worker); ok {
 			for _, task := range slices.Sorted(maps.Keys(held.Runs)) {
 				if r, ok := l.busy(v, h, task, held.Runs[task], sure, now, wall); ok {
