Agents leave a leader that answers no report

Change: each report is answered; one that isn't within 0.9 s ends the stream. A control process that didn't answer a moment ago is given 120 ms instead of 350.

--- a/internal/jobagt/agent_test.go
+++ b/internal/jobagt/agent_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -249,3 +250,52 @@
 	clk.pass(time.Second)
 	require.True(t, miss(ErrNoListener))
 }
+
+// A leader that is frozen keeps its connections. An agent whose reports it doesn't
+// answer looks for another one, long before the connection is found dead.
+func TestSilentLeaderIsLeft(t *testing.T) {
+	a, _ := newAgent(t, &scripted{})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	mux := wire.NewMux(zap.NewNop())
+	heard := make(chan struct{}, 100)
+	mux.Handle(wire.MethodAttend, func(ctx context.Context, _ *wire.Call, st *wire.Stream) error {
+		for {
+			if err := st.Recv(&wire.HostReport{}); err != nil {
+				return err
+			}
+			heard <- struct{}{}
+		}
+	})
+	id := func(role, name string) wire.Identity {
+		return wire.NewIdentity(kern.Node{Cluster: "c", Name: name}, role, kern.Keys{
+			Self: kern.DeriveKey(nil, name), Role: map[string][]byte{"jobctl": nil, "jobagent": nil},
+		}, name+"-1")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	g.Go(func() error { return wire.NewServer(id("jobctl", "c"), mux, zap.NewNop(), nil).Serve(ctx, ln) })
+	t.Cleanup(func() {
+		cancel()
+		_ = g.Wait()
+	})
+	c, err := net.Dial("tcp", ln.Addr().String())
+	require.NoError(t, err)
+	sess, err := wire.Connect(c, id("jobagent", "h"))
+	require.NoError(t, err)
+	defer func() { _ = sess.Close() }()
+	left := make(chan struct{})
+	g.Go(func() error {
+		defer close(left)
+		a.attend(ctx, sess)
+		return nil
+	})
+	<-heard
+	began := time.Now()
+	select {
+	case <-left:
+		require.Less(t, time.Since(began), 3*time.Second)
+	case <-time.After(patience):
+		require.Fail(t, "the agent stays with a leader that says nothing")
+	}
+}
--- a/internal/jobagt/attend.go
+++ b/internal/jobagt/attend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,6 +15,10 @@
 // the lease.
 const reportEvery = 500 * time.Millisecond
 
+// leaderSilence is how long the leader may say nothing before another one is looked
+// for. It answers each report; this bears the loss of no answer, and a slow one.
+const leaderSilence = reportEvery + 400*time.Millisecond
+
 // attend reports to the leader and takes its orders until the session ends.
 func (a *Agent) attend(ctx context.Context, s *wire.Session) {
 	st, err := s.Open(context.Background(), wire.MethodAttend, "")
@@ -28,13 +33,15 @@
 	g, ctx := errgroup.WithContext(ctx)
 	stop := context.AfterFunc(ctx, st.Reset)
 	defer stop()
-	g.Go(func() error { return a.reports(ctx, st) })
+	q := &quiet{}
+	g.Go(func() error { return a.reports(ctx, st, q) })
 	g.Go(func() error {
 		for {
 			o := &wire.HostOrders{}
 			if err := st.Recv(o); err != nil {
 				return err
 			}
+			q.answered(st)
 			a.mu.Lock()
 			a.order(a.ctx, o)
 			a.mu.Unlock()
@@ -45,7 +52,29 @@
 	}
 }
 
-func (a *Agent) reports(ctx context.Context, st *wire.Stream) error {
+// quiet lets a stream end on which the leader leaves a report unanswered.
+type quiet struct {
+	mu      sync.Mutex
+	waiting bool
+}
+
+func (q *quiet) asked(st *wire.Stream) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.waiting {
+		q.waiting = true
+		_ = st.SetReadDeadline(time.Now().Add(leaderSilence)) // a closed stream fails the next read
+	}
+}
+
+func (q *quiet) answered(st *wire.Stream) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.waiting = false
+	_ = st.SetReadDeadline(time.Time{}) // the same
+}
+
+func (a *Agent) reports(ctx context.Context, st *wire.Stream, q *quiet) error {
 	t := time.NewTicker(reportEvery)
 	defer t.Stop()
 	for {
@@ -53,6 +82,7 @@
 		rep, changed := a.report(), a.changed
 		a.mu.Unlock()
 		if rep != nil {
+			q.asked(st)
 			if err := st.Send(rep); err != nil {
 				return err
 			}
--- a/internal/jobctl/hosts.go
+++ b/internal/jobctl/hosts.go
@@ -168,10 +168,12 @@
 	if l.take(h, rep, now) {
 		l.wake()
 	}
+	answer := &wire.HostOrders{} // also without a lease: an agent looks elsewhere if its leader is silent
 	if granted {
 		l.leases[h.worker] = l.c.cfg.leaseEnds(now)
-		l.send(h, &wire.HostOrders{Lease: rep.Clock + l.c.cfg.leaseMs()})
+		answer.Lease = rep.Clock + l.c.cfg.leaseMs()
 	}
+	l.send(h, answer)
 	return nil
 }
 
--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -21,6 +21,8 @@
 	// tryTimeout is for connecting to one candidate and asking it. That takes
 	// some 20 ms; a frozen one must not hold up the next.
 	tryTimeout = 350 * time.Millisecond
+	// suspectTimeout is the same for one that didn't answer a moment ago.
+	suspectTimeout = 120 * time.Millisecond
 	// pause between two rounds over all candidates, spread by half. An election
 	// takes 0.6 to 1.2 s, so a new leader is found within a tenth of that.
 	pause = 80 * time.Millisecond
@@ -114,7 +116,7 @@
 // try asks one control process. If it leads, try stays with it until the session
 // ends, and returns true.
 func (f *Finder) try(ctx context.Context, addr string) bool {
-	deadline := time.Now().Add(tryTimeout)
+	deadline := time.Now().Add(f.patience(addr))
 	d := net.Dialer{Deadline: deadline}
 	c, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
@@ -140,6 +142,16 @@
 	return true
 }
 
+// patience returns how long one control process is given to answer.
+func (f *Finder) patience(addr string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if time.Now().Before(f.suspects[addr]) {
+		return suspectTimeout
+	}
+	return tryTimeout
+}
+
 func ask(ctx context.Context, s *wire.Session, deadline time.Time) (*wire.LeaderReply, error) {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
