--- a/internal/allot/input.go
+++ b/internal/allot/input.go
@@ -144,7 +144,7 @@
 	Worker jobs.Worker
 	Task   jobs.TaskID
 	Run    int
-	For    string // the job that needs the room, or Vacated
+	For    string // the job that needs the room, Vacated
 }
 
 // Vacated stands in the place of a job that needs room: the run can't end before
--- a/internal/allot/play/day.go
+++ b/internal/allot/play/day.go
@@ -69,6 +69,13 @@
 	return time.Duration(j.Slack*float64(j.Work)) + j.Target
 }
 
+// Spell is a time during which some workers are slow.
+type Spell struct {
+	From, To time.Duration
+	Workers  []jobs.Worker
+	Times    float64 // as long as usual
+}
+
 // Day is what a day brings.
 type Day struct {
 	Workers []allot.Worker
@@ -78,7 +85,8 @@
 	Remote  float64
 	Waste   float64         // price of a core-second thrown away, in units of worth
 	Forgets []time.Duration // when another leader takes over
-	Stop    time.Duration   // that a run takes to end when it is told to
+	Slow    []Spell
+	Stop    time.Duration // that a run takes to end when it is told to
 }
 
 // class is a kind of job, as the users' sheets give it.
@@ -138,6 +146,7 @@
 	Length  time.Duration
 	Times   float64         // the usual traffic
 	Forgets []time.Duration // when another leader takes over
+	Slow    bool            // a fifth of the workers turn slow for a while, twice
 	Waste   float64         // price of a core-second thrown away
 	classes []class
 }
@@ -212,9 +221,25 @@
 		}
 	}
 	d.Weigh()
+	if l.Slow {
+		d.Slow = spells(rng, d.Workers, l.Length)
+	}
 	return d
 }
 
+// spells draws two times at which a fifth of the workers are slow.
+func spells(rng *rand.Rand, workers []allot.Worker, length time.Duration) []Spell {
+	var list []Spell
+	for _, at := range []time.Duration{length / 6, length / 2} {
+		s := Spell{From: at, To: at + 6500*time.Millisecond, Times: 4.5}
+		for _, i := range rng.Perm(len(workers))[:(len(workers)+4)/5] {
+			s.Workers = append(s.Workers, workers[i].ID)
+		}
+		list = append(list, s)
+	}
+	return list
+}
+
 func (c class) job(rng *rand.Rand, at time.Duration, teams []string, i int, l Load) Job {
 	n := l.Hosts
 	tasks := int(math.Round(c.width * math.Exp(0.8*rng.NormFloat64()-0.32)))
--- a/internal/allot/play/play.go
+++ b/internal/allot/play/play.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -96,8 +94,7 @@
 	index int
 	tasks []*task
 	done  int
-	saved time.Duration // progress kept
-	fails int           // runs that are still to fail
+	fails int // runs that are still to fail
 }
 
 type task struct {
@@ -106,16 +103,17 @@
 	run      int
 	on       jobs.Worker
 	begun    time.Duration
-	ends     time.Duration
 	factor   float64
+	work     time.Duration // of the whole task at the usual speed
+	left     time.Duration // of it
+	stopped  time.Duration // when a run that is stopping ends
+	pace     allot.Pace
 	stopping bool
 	running  bool
 	done     bool
 	whole    bool
 	single   bool
-	sampled  bool
-	fails    bool
-	own      time.Duration // that the whole work takes on its worker
+	fails    bool // at half of its way
 }
 
 // patient is how long what a guarantee covers may wait: the users demand that it
@@ -165,37 +163,87 @@
 	w.jobs = append(w.jobs, j)
 }
 
+// advance lets what runs progress, each member of a gang at its worker's speed.
+func (w *world) advance() {
+	for id, list := range w.slots {
+		speed := w.speed(id)
+		for _, t := range list {
+			if !t.stopping {
+				t.left = max(0, t.left-time.Duration(float64(tick)*speed/t.factor))
+			}
+		}
+	}
+}
+
+// speed returns how fast a worker is now.
+func (w *world) speed(id jobs.Worker) float64 {
+	s := w.day.Speeds[id]
+	for _, e := range w.day.Slow {
+		if w.now >= e.From && w.now < e.To && slices.Contains(e.Workers, id) {
+			s /= e.Times
+		}
+	}
+	return s
+}
+
+// over tells whether a run has ended.
+func (w *world) over(t *task) bool {
+	switch {
+	case t.stopping:
+		return w.now >= t.stopped
+	case t.fails:
+		return t.left <= t.work/2
+	case !t.job.Gang:
+		return t.left == 0
+	}
+	for _, m := range t.job.tasks {
+		if m.running && m.left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // finish ends the runs whose time has come.
 func (w *world) finish() bool {
-	news := false
+	w.advance()
+	var ended []*task
 	for i := range w.day.Workers {
-		id := w.day.Workers[i].ID
-		w.slots[id] = slices.DeleteFunc(w.slots[id], func(t *task) bool {
-			if t.ends > w.now {
-				return false
+		for _, t := range w.slots[w.day.Workers[i].ID] {
+			if w.over(t) {
+				ended = append(ended, t)
 			}
-			news = true
+		}
+	}
+	for _, t := range ended {
+		if t.running {
 			w.end(t)
-			return true
-		})
+		}
 	}
-	return news
+	return len(ended) > 0
 }
 
 func (w *world) end(t *task) {
 	j := t.job
 	t.running = false
+	w.slots[t.on] = slices.DeleteFunc(w.slots[t.on], func(o *task) bool { return o == t })
 	took := w.now - t.begun
 	if t.stopping {
 		t.stopping = false
-		if j.Saves {
-			return
+		if !j.Saves {
+			w.res.Wasted += took.Seconds() * j.costs()
 		}
-		w.res.Wasted += took.Seconds() * j.costs()
 		return
 	}
 	if t.fails {
 		t.fails = false
+		for _, m := range j.tasks {
+			if j.Gang && m.running {
+				m.fails = false
+				m.stopping, m.stopped = true, w.now
+				w.end(m)
+			}
+		}
 		return
 	}
 	t.done = true
@@ -258,36 +306,46 @@
 	}
 }
 
-// sample lets the learner see a run under way, once. Members of a gang progress
-// each at the speed of its worker.
+// look is how often workers report.
+const look = 500 * time.Millisecond
+
+// sample lets the learner see a run under way, as reports do.
 func (w *world) sample(t *task) {
-	elapsed := w.now - t.begun
-	if t.sampled || t.stopping || t.own == 0 || elapsed*10 < t.own || elapsed < 500*time.Millisecond {
+	if t.stopping || (w.now-t.begun)%look != 0 {
 		return
 	}
-	t.sampled = true
-	rng := rand.New(rand.NewPCG(uint64(t.begun), uint64(t.index)))
-	took := time.Duration(float64(t.own) * math.Exp(0.06*rng.NormFloat64()))
-	w.learner.Progress(allot.Outcome{
-		Worker: t.on, Task: w.id(t), Queue: t.job.Queue, Guess: t.job.Estimate, Took: took, Factor: t.factor, Whole: t.whole, Single: t.single, Gang: t.job.Gang,
-	})
+	percent := int(100 * (t.work - t.left) / max(t.work, 1))
+	var fresh bool
+	if t.pace, fresh = t.pace.WithProgress(percent, int64(w.now/time.Millisecond)+1); fresh {
+		w.learner.Progress(allot.Outcome{
+			Worker: t.on, Task: w.id(t), Queue: t.job.Queue, Guess: t.job.Estimate, Took: t.pace.Whole(), Factor: t.factor, Whole: t.whole, Single: t.single, Gang: t.job.Gang,
+		})
+	}
 }
 
 func (w *world) run(t *task, sure map[string]bool) allot.Run {
 	j := t.job
-	work := time.Duration(float64(w.learner.Work(jobs.TaskID{Job: j.ID}, j.Queue, j.Estimate)) * t.factor)
+	usual := w.learner.Work(jobs.TaskID{Job: j.ID}, j.Queue, j.Estimate)
+	work := time.Duration(float64(usual) * t.factor)
 	elapsed := w.now - t.begun
 	r := allot.Run{
 		Task: w.id(t), Run: t.run, Room: j.Room, Priority: j.Priority, Sure: sure[j.ID], Gang: j.Gang, Saves: j.Saves,
 		Stopping: t.stopping, Left: max(work-elapsed, work/4), Lost: elapsed,
 	}
+	part := float64(t.left) / float64(max(t.work, 1))
+	if whole := t.pace.Whole(); whole > 0 {
+		r.Left = time.Duration(float64(whole) * part)
+	}
 	if j.Saves {
-		r.Lost = min(elapsed, 600*time.Millisecond)
+		r.Lost = min(elapsed, restore)
 	}
 	r.Deadline, r.Late = w.dates(j)
 	return r
 }
 
+// restore is how long a run takes to go on from a checkpoint.
+const restore = 600 * time.Millisecond
+
 // dates returns by when a job ought to be complete, as far as its length is known.
 func (w *world) dates(j *job) (deadline, late time.Time) {
 	aim := time.Duration(j.Slack*float64(w.learner.Work(jobs.TaskID{Job: j.ID}, j.Queue, j.Estimate))) + j.Target
@@ -338,17 +396,12 @@
 		members = t.job.tasks
 	}
 	w.out[t.job.index].Stops++
-	kept := time.Duration(0)
 	for _, m := range members {
 		if m.running && !m.stopping {
 			w.res.Stops++
-			m.stopping, m.ends = true, w.now+w.day.Stop
-			kept = time.Duration(float64(w.now-m.begun) / m.factor)
+			m.stopping, m.stopped = true, w.now+w.day.Stop
 		}
 	}
-	if t.job.Saves {
-		t.job.saved = min(t.job.saved+kept, t.job.Work*9/10)
-	}
 }
 
 func (w *world) start(s jobs.Start) {
@@ -361,10 +414,9 @@
 		return
 	}
 	j := first.job
-	factor, speed, single := 1.0, math.MaxFloat64, true
+	factor, single := 1.0, true
 	for _, p := range s.Places {
 		single = single && p.Worker == s.Places[0].Worker
-		speed = min(speed, w.day.Speeds[p.Worker])
 		if (j.Compact && racks[p.Worker] != racks[s.Places[0].Worker]) || (j.DataRack != "" && racks[p.Worker] != j.DataRack) {
 			factor = w.day.Remote
 		}
@@ -375,16 +427,20 @@
 	for _, p := range s.Places {
 		t := j.tasks[p.Task.Index]
 		t.run++
-		t.on, t.begun, t.factor, t.running, t.stopping, t.whole = p.Worker, w.now, factor, true, false, j.saved == 0
-		t.single, t.sampled = single, false
-		t.ends = w.now + time.Duration(float64(j.Work-j.saved)*factor*j.uneven(p.Task.Index)/speed) + tick
-		t.own = time.Duration(float64(j.Work) * factor * j.uneven(p.Task.Index) / w.day.Speeds[p.Worker])
+		again := j.Saves && t.left < t.work // it goes on from its checkpoint
+		if !again {
+			t.work = time.Duration(float64(j.Work) * j.uneven(p.Task.Index))
+			t.left = t.work
+		} else {
+			t.left += min(t.work-t.left, time.Duration(float64(restore)*w.day.Speeds[p.Worker]))
+		}
+		t.on, t.begun, t.factor, t.running, t.stopping, t.whole = p.Worker, w.now, factor, true, false, !again
+		t.single, t.pace = single, allot.Pace{}
 		w.slots[p.Worker] = append(w.slots[p.Worker], t)
 		w.res.Starts++
 		// A gang fails whole, other work task by task.
 		if j.fails > 0 {
 			t.fails = true
-			t.ends = w.now + (t.ends-w.now)/2
 			if !j.Gang {
 				j.fails--
 			}
--- a/internal/allot/play/table_test.go
+++ b/internal/allot/play/table_test.go
@@ -62,6 +62,9 @@
 	for _, load := range []float64{0.78, 1, 1.25} {
 		t.Logf("birds %.2f: %v", load, sum(t, allot.Make, 12, play.Birds(load)))
 		t.Logf("linens %.2f: %v", load, sum(t, allot.Make, 12, play.Linens(load)))
+		slow := play.Birds(load)
+		slow.Slow = true
+		t.Logf("birds %.2f, slow spells: %v", load, sum(t, allot.Make, 12, slow))
 	}
 	for name, decide := range baselines {
 		t.Logf("%s: small 1.0: %v", name, sum(t, decide, 16, play.Small(11, 40*time.Second, 1)))
