--- a/internal/allot/input.go
+++ b/internal/allot/input.go
@@ -58,7 +58,7 @@
 	Speed   float64 // learned, 1 is a sound worker of the usual kind
 	Doubt   float64 // standard deviation of the logarithm of Speed
 	Barred  bool    // draining, out of reach or under suspicion: takes no new tasks
-	Suspect bool    // a run has failed there lately: takes tasks only if there is nowhere else
+	Suspect bool    // a run has failed there lately, or its report is overdue: takes tasks only if there is nowhere else
 	// Leaves is when the worker ends at the earliest, with all that runs there;
 	// zero if it stays.
 	Leaves time.Time
--- a/internal/jobagt/attend.go
+++ b/internal/jobagt/attend.go
@@ -15,9 +15,10 @@
 // the lease.
 const reportEvery = 500 * time.Millisecond
 
-// leaderSilence is how long the leader may say nothing before another one is looked
-// for. It answers each report; this bears the loss of no answer, and a slow one.
-const leaderSilence = reportEvery + 400*time.Millisecond
+// leaderSilence is how long the leader may leave a report unanswered before another
+// one is looked for. An answer takes some 10 ms, and 60 ms from a host that has turned
+// slow. A successor of a frozen leader is elected after about 0.75 s.
+const leaderSilence = 450 * time.Millisecond
 
 // attend reports to the leader and takes its orders until the session ends.
 func (a *Agent) attend(ctx context.Context, s *wire.Session) {
--- a/internal/jobctl/control.go
+++ b/internal/jobctl/control.go
@@ -78,7 +78,7 @@
 	c.handle()
 	c.server = wire.NewServer(id, c.mux, env.Log, nil)
 	var err error
-	if c.ln, err = net.Listen("tcp", cfg.Address); err != nil {
+	if c.ln, err = net.Listen("tcp", cfg.listen()); err != nil {
 		return nil, errors.Wrap(err, "jobctl: listen")
 	}
 	if c.desk, err = net.Listen("tcp", cfg.Desk); err != nil {
--- a/internal/jobctl/hosts.go
+++ b/internal/jobctl/hosts.go
@@ -16,8 +16,11 @@
 
 const (
 	// quiet is how old a report may be for its worker to get new tasks. Reports
-	// come twice a second, so this bears the loss of two.
-	quiet = 1700 * time.Millisecond
+	// come twice a second, so this bears the loss of one.
+	quiet = 1200 * time.Millisecond
+	// overdue is how old a report may be before other workers come first: the
+	// host may have been cut off, and what starts there is lost for a lease.
+	overdue = 650 * time.Millisecond
 	// maxOrders is how many orders may wait for one agent before its stream is
 	// given up.
 	maxOrders = 256
--- a/internal/jobctl/input.go
+++ b/internal/jobctl/input.go
@@ -86,7 +86,7 @@
 			Barred: h.out == nil || h.rep.Draining || h.rep.Lost || now.Sub(h.heard) > quiet ||
 				l.learner.Barred(h.worker, now),
 		}
-		w.Suspect = l.learner.Suspect(h.worker, now)
+		w.Suspect = l.learner.Suspect(h.worker, now) || now.Sub(h.heard) > overdue
 		if h.rep.Draining && h.rep.Remainms > 0 {
 			w.Leaves = h.heard.Add(time.Duration(h.rep.Remainms) * time.Millisecond)
 		}
--- a/internal/jobctl/settings.go
+++ b/internal/jobctl/settings.go
@@ -16,6 +16,7 @@
 // Settings are the role's part of the settings file.
 type Settings struct {
 	Address string   `json:"address" validate:"ipport" listen:"true" help:"IP:port on which other processes connect; it is also the replica's name"`
+	Bind    string   `json:"bind" validate:"omitempty,ipport" help:"IP:port to listen on where others reach address by way of something else; empty is address itself"`
 	Desk    string   `json:"desk" validate:"ipport" listen:"true" help:"IP:port of the operators' HTTP interface"`
 	Seeds   []string `json:"seeds" validate:"dive,ipport" help:"operators' addresses of some control processes; only the hosts are used, with the port of address"`
 	Data    string   `json:"data" help:"folder for the replicated log; without one the process passes calls on and holds nothing"`
@@ -40,6 +41,14 @@
 	return ps
 }
 
+// listen returns where the process listens for others.
+func (s *Settings) listen() string {
+	if s.Bind != "" {
+		return s.Bind
+	}
+	return s.Address
+}
+
 // replicas returns the seeds as addresses of replicas: their hosts with the own
 // port, which is the same everywhere.
 func (s *Settings) replicas() []string {
--- a/internal/jobent/entry.go
+++ b/internal/jobent/entry.go
@@ -37,7 +37,11 @@
 	retryAfter = 1200 * time.Millisecond
 	// unreadyAfter is how long the leader may be missing before calls are sent
 	// elsewhere.
-	unreadyAfter = 3 * time.Second
+	unreadyAfter = 2 * time.Second
+	// giveUpAfter is how long the leader may be missing before calls are refused at
+	// once. A successor is elected and found within 1.7 s; who waits longer is
+	// more likely cut off, and the caller's next try reaches another entry.
+	giveUpAfter = 2 * time.Second
 )
 
 // Entry is the role at work.
@@ -172,7 +176,7 @@
 	sent, tries := false, 0
 	var last error
 	for ctx.Err() == nil {
-		s, err := e.finder.Session(ctx)
+		s, err := e.session(ctx)
 		if err != nil {
 			last = errors.CombineErrors(err, last)
 			break
@@ -195,6 +199,17 @@
 	return truthful(jobs.Kind(req.Kind), a, sent), tries, last
 }
 
+// session returns the session to the leader, and waits for one as long as that
+// makes sense.
+func (e *Entry) session(ctx context.Context) (*wire.Session, error) {
+	if lost, missing := e.finder.Lost(); missing {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, lost.Add(giveUpAfter))
+		defer cancel()
+	}
+	return e.finder.Session(ctx)
+}
+
 func try(ctx context.Context, s *wire.Session, req *wire.JobCall) (*wire.JobReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -49,6 +49,7 @@
 	leader string   // where the last answer pointed
 	sess   *wire.Session
 	found  bool // there has been a session
+	lost   time.Time // when the last session ended, or the search began
 	// suspects are candidates that didn't answer, until when they come last.
 	suspects map[string]time.Time
 	changed  chan struct{} // closed when sess changes
@@ -59,7 +60,7 @@
 func New(id wire.Identity, seeds []string, log *zap.Logger, up func(ctx context.Context, s *wire.Session)) *Finder {
 	return &Finder{
 		id: id, mux: wire.NewMux(log), log: log, up: up, seeds: seeds,
-		changed: make(chan struct{}), suspects: map[string]time.Time{},
+		changed: make(chan struct{}), suspects: map[string]time.Time{}, lost: time.Now(),
 	}
 }
 
@@ -210,6 +211,9 @@
 func (f *Finder) set(s *wire.Session) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.sess != nil && s == nil {
+		f.lost = time.Now()
+	}
 	f.sess = s
 	f.found = f.found || s != nil
 	close(f.changed)
@@ -223,6 +227,13 @@
 	return f.sess != nil
 }
 
+// Lost returns since when there has been no session to a leader, if there is none.
+func (f *Finder) Lost() (time.Time, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lost, f.sess == nil
+}
+
 // Session returns the session to the leader, and waits for one until ctx is
 // done. It returns an ErrNone then.
 func (f *Finder) Session(ctx context.Context) (*wire.Session, error) {
