--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -48,7 +48,7 @@
 	known  []string // as control told
 	leader string   // where the last answer pointed
 	sess   *wire.Session
-	found  bool // there has been a session
+	found  bool      // there has been a session
 	lost   time.Time // when the last session ended, or the search began
 	// suspects are candidates that didn't answer, until when they come last.
 	suspects map[string]time.Time
