--- a/internal/jobagt/agent_test.go
+++ b/internal/jobagt/agent_test.go
@@ -259,7 +259,7 @@
 	require.NoError(t, err)
 	mux := wire.NewMux(zap.NewNop())
 	heard := make(chan struct{}, 100)
-	mux.Handle(wire.MethodAttend, func(ctx context.Context, _ *wire.Call, st *wire.Stream) error {
+	mux.Handle(wire.MethodAttend, func(_ context.Context, _ *wire.Call, st *wire.Stream) error {
 		for {
 			if err := st.Recv(&wire.HostReport{}); err != nil {
 				return err
