--- a/internal/allot/worth.go
+++ b/internal/allot/worth.go
@@ -8,8 +8,8 @@
 const (
 	// wasteCost is what a second of work thrown away costs, where a second of
 	// urgent work that completes in time is worth 1. The users' price lists put it
-	// between a tenth and an eighth.
-	wasteCost = 0.1
+	// between a tenth and a quarter.
+	wasteCost = 0.2
 	// lateShare is what completing late is worth, from the users' sheets: a fifth
 	// of the whole for urgent work, a tenth to a half for the rest.
 	lateShare = 0.25
