--- a/internal/allot/gang.go
+++ b/internal/allot/gang.go
@@ -63,16 +63,23 @@
 	if had {
 		p.release(n, claim)
 	}
+	v := p.carryOut(n, claim, had)
+	if v == Started {
+		p.rule(n, v, len(n.Indexes))
+		return
+	}
+	p.rule(n, v, 0)
+}
+
+// carryOut serves a need, all of its tasks together, in the way that is worth most.
+func (p *planner) carryOut(n *Need, claim choice, had bool) Verdict {
 	best, ok := p.bestOption(n, claim, had)
 	if !ok {
-		p.rule(n, Waits, 0)
-		return
+		return Waits
 	}
 	switch best.verdict {
 	case Started:
 		p.startGang(n, best.choice)
-		p.rule(n, Started, len(n.Indexes))
-		return
 	case Reclaims:
 		p.evict(n.Job, best.choice.victims)
 		p.claim(n, best.choice)
@@ -81,7 +88,7 @@
 	default:
 		p.reserve(n, best.rack)
 	}
-	p.rule(n, best.verdict, 0)
+	return best.verdict
 }
 
 // bestOption weighs the ways to serve a gang.
--- a/internal/allot/plan.go
+++ b/internal/allot/plan.go
@@ -82,7 +82,8 @@
 			}
 			if ch, ok := p.claimed(n, c); ok {
 				p.keepAll(n, ch)
-				p.claims[n] = ch
+				before := p.claims[n]
+				p.claims[n] = choice{shares: append(before.shares, ch.shares...)}
 			}
 		}
 	}
@@ -238,11 +239,14 @@
 
 // serve places one need, keeps room for it, or leaves it waiting.
 func (p *planner) serve(n *Need) {
-	if n.Gang || n.Priority == 0 && len(n.Indexes) == 1 {
+	switch {
+	case n.Gang:
 		p.serveGang(n)
-		return
+	case n.Sure || n.Priority <= urgent:
+		p.serveUrgent(n)
+	default:
+		p.serveSingles(n)
 	}
-	p.serveSingles(n)
 }
 
 func (p *planner) rule(n *Need, v Verdict, tasks int) {
@@ -289,13 +293,45 @@
 	tasks int
 }
 
-// serveSingles places tasks one by one, each where it ends soonest, and keeps or
-// makes room for the rest if the need is urgent.
-func (p *planner) serveSingles(n *Need) {
-	claim, had := p.claims[n]
-	if had {
-		p.release(n, claim)
+// serveUrgent serves urgent tasks that run one by one, each like a gang of one.
+func (p *planner) serveUrgent(n *Need) {
+	kept := p.claims[n].shares
+	used := maps.Clone(n.Used)
+	if used == nil {
+		used = map[jobs.Worker]int{}
+	}
+	placed, last := 0, Waits
+	for _, index := range n.Indexes {
+		one := *n
+		one.Indexes, one.Used = []int{index}, used
+		claim, had := choice{}, len(kept) > 0
+		if had {
+			claim.shares = []share{{kept[0].slot, 1}}
+			if kept[0].tasks--; kept[0].tasks == 0 {
+				kept = kept[1:]
+			}
+			p.release(&one, claim)
+		}
+		starts := len(p.plan.Starts)
+		last = p.carryOut(&one, claim, had)
+		if last == Started {
+			placed++
+			used[p.plan.Starts[starts].Places[0].Worker]++
+		}
 	}
+	p.release(n, choice{shares: kept}) // what is kept for more tasks than are left
+	switch placed {
+	case len(n.Indexes):
+		p.rule(n, Started, placed)
+	case 0:
+		p.rule(n, last, 0)
+	default:
+		p.rule(n, Partly, placed)
+	}
+}
+
+// serveSingles places tasks one by one, each where it ends soonest.
+func (p *planner) serveSingles(n *Need) {
 	placed := 0
 	taken := map[int]int{}
 	for _, index := range n.Indexes {
@@ -317,9 +353,6 @@
 	default:
 		p.rule(n, Waits, 0)
 	}
-	if n.Sure || n.Priority == 0 {
-		p.claimSingles(n, len(n.Indexes)-placed, taken, claim)
-	}
 }
 
 // bestSingle returns the slot that one task is best put on, or -1. A place far
--- a/internal/allot/plan_test.go
+++ b/internal/allot/plan_test.go
@@ -230,3 +230,35 @@
 	in.Needs[0].Compact = false
 	require.Len(t, allot.Make(in).Starts, 1, "one alone can't hold it")
 }
+
+// Urgent tasks that run one by one don't take whatever is free: a slow worker makes
+// their job late, and the next one has only work that can wait.
+func TestUrgentTasksTakeFastWorkers(t *testing.T) {
+	in := allot.Input{Now: noon, Remote: 3, Workers: fleet(4)}
+	for i := range in.Workers {
+		in.Workers[i].Speed = 0.5
+	}
+	for _, i := range []int{2, 3} {
+		in.Workers[i].Speed = 1.6
+		busy(&in.Workers[i], "batch", 8, 2, 10*time.Second)
+		in.Workers[i].Runs[0].Lost = 200 * time.Millisecond
+		in.Workers[i].Runs[0].Deadline, in.Workers[i].Runs[0].Late = noon.Add(time.Minute), noon.Add(3*time.Minute)
+	}
+	n := urgentGang("g", 2, 8)
+	n.Gang, n.Compact = false, false
+	in.Needs = []allot.Need{n}
+	p := allot.Make(in)
+	require.Empty(t, p.Starts)
+	require.Len(t, p.Stops, 2)
+	require.Len(t, p.Claims, 2)
+
+	// One of the two has made room: that task starts, the other's room stays kept.
+	in.Claims = p.Claims
+	in.Workers[2].Runs = nil
+	in.Workers[3].Runs[0].Stopping = true
+	p = allot.Make(in)
+	require.Len(t, p.Starts, 1)
+	require.Equal(t, in.Workers[2].ID, p.Starts[0].Places[0].Worker)
+	require.Len(t, p.Claims, 1)
+	require.Equal(t, in.Workers[3].ID, p.Claims[0].Shares[0].Worker)
+}
