--- a/internal/allot/plan_test.go
+++ b/internal/allot/plan_test.go
@@ -262,3 +262,13 @@
 	require.Len(t, p.Claims, 1)
 	require.Equal(t, in.Workers[3].ID, p.Claims[0].Shares[0].Worker)
 }
+
+// A task that lasts isn't stopped for work that ends; a guarantee may have its room.
+func TestTasksThatLastStay(t *testing.T) {
+	in := allot.Input{Now: noon, Remote: 3, Workers: fleet(1), Needs: []allot.Need{urgentGang("g", 1, 8)}}
+	busy(&in.Workers[0], "serving", 8, 2, time.Hour)
+	in.Workers[0].Runs[0].Lasts = true
+	require.Empty(t, allot.Make(in).Stops)
+	in.Needs[0].Sure = true
+	require.Len(t, allot.Make(in).Stops, 1)
+}
--- a/internal/allot/reclaim.go
+++ b/internal/allot/reclaim.go
@@ -11,10 +11,14 @@
 	group *group
 }
 
-// yields tells whether a run has to make room for a need.
+// yields tells whether a run has to make room for a need. Tasks that last serve
+// users of their own; only a guarantee ends them.
 func (v victim) yields(n *Need) bool {
-	if v.Stopping || v.Sure || v.group.gone {
+	switch {
+	case v.Stopping || v.Sure || v.group.gone:
 		return false
+	case v.Lasts:
+		return n.Sure
 	}
 	return v.Priority > n.Priority || n.Sure
 }
