Log seeds, memberships, withheld votes, peers in reach and the lack of a leader

A replica without a leader for 2 s logs 'no leader' with the voters it hears, the quorum and the silent ones; gauges voters and voters_reached tell the same. No decision changes.

--- a/internal/jobctl/control.go
+++ b/internal/jobctl/control.go
@@ -182,6 +182,8 @@
 		g.Go(func() error { return c.node.Run(ctx) })
 		g.Go(func() error { return kern.Every(ctx, leadCheck, func() { c.leadOnce(ctx) }) })
 		g.Go(func() error { return kern.Every(ctx, helloCheck, c.announce) })
+		watch := newQuorumWatch(c.env, c.meters)
+		g.Go(func() error { return kern.Every(ctx, quorumCheck, func() { watch.look(c.node.Status()) }) })
 	}
 	err := g.Wait()
 	if c.store != nil {
--- a/internal/jobctl/meters.go
+++ b/internal/jobctl/meters.go
@@ -20,6 +20,8 @@
 	waiting tally.Gauge
 	runs    tally.Gauge
 	lost    tally.Counter
+	voters  tally.Gauge // in the membership that this replica holds
+	reached tally.Gauge // of them, heard lately; this replica included
 }
 
 func newMeters(s tally.Scope) meters {
@@ -33,6 +35,8 @@
 		waiting: s.Gauge("jobs_waiting"),
 		runs:    s.Gauge("runs"),
 		lost:    s.Counter("workers_lost"),
+		voters:  s.Gauge("voters"),
+		reached: s.Gauge("voters_reached"),
 	}
 }
 
--- /dev/null
+++ b/internal/jobctl/quorum.go
@@ -0,0 +1,63 @@
+package jobctl
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/knapweedlug/knapweedlug/internal/kern"
+	"github.com/knapweedlug/knapweedlug/internal/replog"
+)
+
+const (
+	quorumCheck = 500 * time.Millisecond
+	// leaderless is how long a replica may be without a leader before it logs so;
+	// an election takes up to 1.2 s.
+	leaderless = 2 * time.Second
+	// leaderlessAgain is how often it logs so.
+	leaderlessAgain = 5 * time.Second
+	// silentAfter is how long a voter may say nothing and still count as reached;
+	// replicas without a leader speak at least every 1.2 s.
+	silentAfter = 2500 * time.Millisecond
+)
+
+// quorumWatch logs which voters a replica without a leader hears.
+type quorumWatch struct {
+	log    *zap.Logger
+	clock  kern.Clock
+	meters meters
+	since  time.Time // without a leader, zero while there is one
+	next   time.Time // when that is logged
+	told   bool
+}
+
+func newQuorumWatch(env *kern.Env, m meters) *quorumWatch {
+	return &quorumWatch{log: env.Log, clock: env.Boot, meters: m}
+}
+
+func (q *quorumWatch) look(st replog.Status) {
+	now := q.clock.Now()
+	var silent []string
+	for _, v := range st.Voters {
+		if now.Sub(v.Heard) > silentAfter {
+			silent = append(silent, v.Name+"/"+v.Incarnation)
+		}
+	}
+	reached := len(st.Voters) - len(silent)
+	q.meters.voters.Update(float64(len(st.Voters)))
+	q.meters.reached.Update(float64(reached))
+	switch {
+	case st.Leader != "" && q.told:
+		q.log.Info("leader known again", zap.String("leader", st.Leader), zap.Uint64("term", st.Term), zap.Duration("after", now.Sub(q.since)))
+		q.since, q.told = time.Time{}, false
+	case st.Leader != "":
+		q.since = time.Time{}
+	case q.since.IsZero():
+		q.since, q.next = now, now.Add(leaderless)
+	case !now.Before(q.next):
+		q.next, q.told = now.Add(leaderlessAgain), true
+		q.log.Warn("no leader", zap.Duration("for", now.Sub(q.since)), zap.String("standing", string(st.Role)), zap.Uint64("term", st.Term),
+			zap.Int("voters", len(st.Voters)), zap.Int("reached", reached), zap.Int("quorum", st.Quorum()),
+			zap.Strings("silent", silent), zap.Uint64("last", st.Last), zap.Bool("vouched", st.Vouched), zap.String("refused", st.Refused))
+	}
+}
--- a/internal/peers/streams.go
+++ b/internal/peers/streams.go
@@ -29,19 +29,22 @@
 
 	mu    sync.Mutex
 	peers map[string]*peer
-	ctx   context.Context // of Run, once it has begun
-	group *errgroup.Group
+	// unknown are names that messages were for and that no link leads to.
+	unknown map[string]bool
+	ctx     context.Context // of Run, once it has begun
+	group   *errgroup.Group
 }
 
 // peer is another control process.
 type peer struct {
 	link *wire.Link
 	out  chan *wire.LogMessage
+	lost bool // and logged as such; only run uses it
 }
 
 // New returns Streams without peers.
 func New(log *zap.Logger) *Streams {
-	return &Streams{log: log, peers: map[string]*peer{}}
+	return &Streams{log: log, peers: map[string]*peer{}, unknown: map[string]bool{}}
 }
 
 // Add adds a peer. A peer that is there already stays as it is.
@@ -53,6 +56,7 @@
 	}
 	p := &peer{link: link, out: make(chan *wire.LogMessage, maxOutgoing)}
 	s.peers[name] = p
+	delete(s.unknown, name)
 	if s.group != nil {
 		s.begin(name, p)
 	}
@@ -97,7 +101,14 @@
 func (s *Streams) Send(to string, m *wire.LogMessage) {
 	s.mu.Lock()
 	p, ok := s.peers[to]
+	first := !ok && !s.unknown[to]
+	if first {
+		s.unknown[to] = true
+	}
 	s.mu.Unlock()
+	if first {
+		s.log.Warn("no address for a peer", zap.String("peer", to), zap.Stringer("kind", m.GetKind()))
+	}
 	if !ok {
 		return
 	}
@@ -110,24 +121,38 @@
 // run sends to one peer until ctx is done.
 func (s *Streams) run(ctx context.Context, name string, p *peer) error {
 	for ctx.Err() == nil {
-		if err := p.stream(ctx); err != nil && ctx.Err() == nil {
-			s.log.Debug("log stream ended", zap.String("peer", name), zap.Error(err))
+		reached, err := s.stream(ctx, name, p)
+		if err != nil && ctx.Err() == nil {
+			s.note(name, p, reached, err)
 		}
 		kern.Sleep(ctx, redialPause)
 	}
 	return nil
 }
 
-func (p *peer) stream(ctx context.Context) error {
-	s, err := p.link.Session()
+// note logs that a peer has gone out of reach, once until it is back. Only run of that peer calls it.
+func (s *Streams) note(name string, p *peer, reached bool, err error) {
+	if p.lost && !reached {
+		return
+	}
+	p.lost = true
+	s.log.Warn("peer out of reach", zap.String("peer", name), zap.Bool("reached", reached), zap.Error(err))
+}
+
+// stream carries messages over the present session until it ends, and tells
+// whether there was one.
+func (s *Streams) stream(ctx context.Context, name string, p *peer) (reached bool, err error) {
+	sess, err := p.link.Session()
 	if err != nil {
 		p.discard()
-		return err
+		return false, err
 	}
-	st, err := s.Open(context.Background(), wire.MethodLog, "")
+	st, err := sess.Open(context.Background(), wire.MethodLog, "")
 	if err != nil {
-		return err
+		return false, err
 	}
+	p.lost = false
+	s.log.Info("peer reached", zap.String("peer", name))
 	stop := context.AfterFunc(ctx, st.Reset)
 	defer stop()
 	defer st.Reset()
@@ -135,12 +160,12 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
-		case <-s.Done():
-			return errors.New("session lost")
+			return true, nil
+		case <-sess.Done():
+			return true, errors.New("session lost")
 		case m := <-p.out:
 			if err := p.write(w, m); err != nil {
-				return err
+				return true, err
 			}
 		}
 	}
--- a/internal/replog/core.go
+++ b/internal/replog/core.go
@@ -49,6 +49,10 @@
 	// heard leader may hold a lease.
 	promiseDeadline time.Time
 	votes           map[string]bool
+	// heard is when each member's last message came, by incarnation; withheld is the last
+	// vote that wasn't granted.
+	heard    map[string]time.Time
+	withheld withheld
 
 	// durable is the furthest position that was ever on the own disk.
 	durable position
@@ -105,8 +109,8 @@
 	c := &core{
 		opt: opt, self: id.Incarnation, boot: id.Boot, now: now,
 		rand: rand.New(rand.NewPCG(opt.Seed, id.Boot)),
-		role: Waiting,
-		log:  newEntryLog(held.Entries, held.Snapshot),
+		role: Waiting, heard: make(map[string]time.Time),
+		log: newEntryLog(held.Entries, held.Snapshot),
 	}
 	c.state = hardState{term: held.State.GetTerm(), vote: held.State.GetVote(), accepted: held.State.GetAccepted()}
 	c.savedState = c.state
@@ -185,6 +189,9 @@
 	if !c.accepts(m) {
 		return
 	}
+	if _, member := c.members().get(m.GetFromIncarnation()); member {
+		c.heard[m.GetFromIncarnation()] = c.now
+	}
 	switch m.GetKind() {
 	case wire.LogKind_LOG_KIND_HELLO:
 		c.stepHello(m)
--- a/internal/replog/elect.go
+++ b/internal/replog/elect.go
@@ -69,23 +69,56 @@
 	return c.now.Before(c.promiseDeadline)
 }
 
+// Objection is why a replica grants no vote.
+type Objection string
+
+// The objections to a vote.
+const (
+	Unvouched Objection = "unvouched" // it isn't certain yet that the own folder is whole
+	Bound     Objection = "bound"     // a leader may rely on this replica
+	OldTerm   Objection = "oldterm"   // the candidate's term is over
+	ShortLog  Objection = "shortlog"  // the candidate lacks entries
+	Voted     Objection = "voted"     // another candidate has the vote of this term
+)
+
+// withheld is a vote that wasn't granted.
+type withheld struct {
+	candidate string // name
+	why       Objection
+}
+
+// object notes why a candidate gets no vote.
+func (c *core) object(m *wire.LogMessage, why Objection) {
+	c.withheld = withheld{m.GetFrom(), why}
+}
+
 // mayVote tells whether this replica may vote for another one. A replica that
 // holds no membership yet, or a learner, may: a candidate counts only those
 // that are voters in its own log.
-func (c *core) mayVote() bool {
-	return c.hello.vouched && !c.bound()
+func (c *core) mayVote(m *wire.LogMessage) bool {
+	switch {
+	case !c.hello.vouched:
+		c.object(m, Unvouched)
+	case c.bound():
+		c.object(m, Bound)
+	default:
+		return true
+	}
+	return false
 }
 
 func (c *core) stepPreVote(m *wire.LogMessage) {
-	if !c.mayVote() {
+	if !c.mayVote(m) {
 		return
 	}
 	r := c.reply(wire.LogKind_LOG_KIND_PRE_VOTE_REPLY, m)
 	switch {
 	case m.GetTerm() <= c.state.term:
 		// Lets a candidate whose term lags catch up with it.
+		c.object(m, OldTerm)
 		r.Reject = true
 	case !c.upToDate(m):
+		c.object(m, ShortLog)
 		return
 	default:
 		r.Term = m.GetTerm()
@@ -125,14 +158,23 @@
 }
 
 func (c *core) stepVote(m *wire.LogMessage) {
-	if !c.mayVote() || m.GetTerm() < c.state.term {
+	if !c.mayVote(m) {
+		return
+	}
+	if m.GetTerm() < c.state.term {
+		c.object(m, OldTerm)
 		return
 	}
 	if m.GetTerm() > c.state.term {
 		c.becomeFollower(m.GetTerm(), "")
 	}
 	free := c.state.vote == "" || c.state.vote == m.GetFromIncarnation()
-	if (c.role != Follower && c.role != Waiting) || !free || !c.upToDate(m) {
+	switch {
+	case (c.role != Follower && c.role != Waiting) || !free:
+		c.object(m, Voted)
+		return
+	case !c.upToDate(m):
+		c.object(m, ShortLog)
 		return
 	}
 	c.state = c.state.withVote(m.GetFromIncarnation())
--- a/internal/replog/member.go
+++ b/internal/replog/member.go
@@ -134,6 +134,19 @@
 	return values[len(values)-ms.quorum()]
 }
 
+// labels describes the members for the log.
+func (ms Members) labels() []string {
+	list := make([]string, 0, len(ms))
+	for _, m := range ms {
+		label := m.Name + "/" + m.Incarnation + "/" + string(m.Role)
+		if m.Replaces != "" {
+			label += "/replaces " + m.Replaces
+		}
+		list = append(list, label)
+	}
+	return list
+}
+
 func (ms Members) encode() ([]byte, error) {
 	return proto.MarshalOptions{Deterministic: true}.Marshal(ms.wire())
 }
--- a/internal/replog/node.go
+++ b/internal/replog/node.go
@@ -29,6 +29,8 @@
 	reads    []*readWaiter
 	stopped  bool
 	standing standing
+	withheld withheld // as last logged
+	listed   uint64   // index of the membership that was last logged
 	// compactTo is the first index that the disk must keep.
 	compactTo uint64
 	refuse    string
@@ -112,6 +114,8 @@
 func (n *Node) settle() []*wire.LogMessage {
 	c := n.core
 	n.logRole()
+	n.logVotes()
+	n.logMembers()
 	if c.role != Leader || c.state.term != n.term {
 		n.failWaiters(ErrUnknown, &NotLeaderError{Leader: c.leaderName()})
 		n.term = c.state.term
@@ -145,6 +149,28 @@
 	}
 }
 
+// logVotes logs a vote that wasn't granted, once for each candidate and reason.
+func (n *Node) logVotes() {
+	c := n.core
+	if c.withheld == n.withheld {
+		return
+	}
+	n.withheld = c.withheld
+	n.log.Info("vote withheld", zap.String("candidate", c.withheld.candidate), zap.String("why", string(c.withheld.why)),
+		zap.Uint64("term", c.state.term), zap.Uint64("last", c.log.lastIndex()))
+}
+
+// logMembers logs the membership that this replica holds when it changes.
+func (n *Node) logMembers() {
+	at := n.core.history.latest()
+	if at.index == n.listed {
+		return
+	}
+	n.listed = at.index
+	n.log.Info("membership held", zap.Uint64("index", at.index), zap.Uint64("term", n.core.state.term), zap.Uint64("commit", n.core.commit),
+		zap.Strings("members", at.members.labels()))
+}
+
 // standing is what logRole last logged.
 type standing struct {
 	role   Role
--- a/internal/replog/status.go
+++ b/internal/replog/status.go
@@ -27,11 +27,22 @@
 	DiskFull    bool         `json:"diskFull"`          // nothing is acknowledged meanwhile
 	Refused     string       `json:"refused,omitempty"` // why the folder may never vote again
 	Members     []Member     `json:"members"`
+	Voters      []VoterHeard `json:"voters"`
 	Peers       []PeerStatus `json:"peers,omitempty"`   // on the leader
 	Repairs     []Repair     `json:"repairs,omitempty"` // on the leader
 	Waiting     []Announced  `json:"waiting,omitempty"` // replicas that could be added
 }
 
+// VoterHeard is when this replica last heard of a voter, whoever leads.
+type VoterHeard struct {
+	Name        string    `json:"name"`
+	Incarnation string    `json:"incarnation"`
+	Heard       time.Time `json:"heard"` // zero if never since the start
+}
+
+// Quorum returns how many voters have to work together.
+func (s Status) Quorum() int { return len(s.Voters)/2 + 1 }
+
 // PeerStatus is what a leader knows of a peer.
 type PeerStatus struct {
 	Name        string    `json:"name"`
@@ -81,7 +92,7 @@
 		Snapshot: n.st.Snapshot().GetIndex(),
 		Lease:    c.leading.leaseDeadline, Vouched: c.hello.vouched, DiskFull: c.full,
 		Refused: id.Refused, Members: c.members(),
-		Waiting: c.waiting(),
+		Waiting: c.waiting(), Voters: c.votersHeard(),
 	}
 	if c.role == Leader {
 		s.Peers = c.peerStatus()
@@ -90,6 +101,18 @@
 	return s
 }
 
+func (c *core) votersHeard() []VoterHeard {
+	var list []VoterHeard
+	for _, m := range c.members().voters() {
+		v := VoterHeard{Name: m.Name, Incarnation: m.Incarnation, Heard: c.heard[m.Incarnation]}
+		if m.Incarnation == c.self {
+			v.Heard = c.now
+		}
+		list = append(list, v)
+	}
+	return list
+}
+
 func (c *core) peerStatus() []PeerStatus {
 	var list []PeerStatus
 	for _, m := range c.members() {
--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -58,6 +58,7 @@
 // New returns a Finder that begins with the addresses in seeds. up, which may be
 // nil, runs for each session to a leader; the session is given up when up returns.
 func New(id wire.Identity, seeds []string, log *zap.Logger, up func(ctx context.Context, s *wire.Session)) *Finder {
+	log.Info("seeds", zap.Strings("addrs", seeds))
 	return &Finder{
 		id: id, mux: wire.NewMux(log), log: log, up: up, seeds: seeds,
 		changed: make(chan struct{}), suspects: map[string]time.Time{}, lost: time.Now(),
@@ -68,6 +69,9 @@
 func (f *Finder) SetSeeds(seeds []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !slices.Equal(f.seeds, seeds) {
+		f.log.Info("seeds", zap.Strings("addrs", seeds), zap.Strings("before", f.seeds))
+	}
 	f.seeds = seeds
 }
 
