Replicas dial their own membership, and control without a log points to the replicas

Cause: addresses came only from the settings. After an exchange of seeds these may name control processes without a folder: a replica that restarts with its membership on disk dialled none of its members, and control processes without a log answered 'who leads' with nothing, so entries, agents and a replica with an empty folder found nobody either. Class: what a process needs to find its peers was kept in memory only, while a copy that outlives a restart lay unused. Change: a replica dials the members that it holds and tells the control processes in its seeds which replicas there are, at the start of each session and after a change; whoever asks for the leader tells what it knows as well; a newer membership (by the index of its log entry) replaces an older one; control without a log answers from that. TestSurvivorsElectALeaderWhenNoSeedHoldsALog: failed after 60 s without an answer, passes in 4 s.

--- a/internal/jobctl/control.go
+++ b/internal/jobctl/control.go
@@ -32,6 +32,7 @@
 	maxHeaderBytes = 16 << 10
 	leadCheck      = 20 * time.Millisecond // between looks whether this replica leads
 	helloCheck     = 200 * time.Millisecond
+	tellCheck      = 200 * time.Millisecond // between looks whether the replicas have changed
 )
 
 // Control is the role at work.
@@ -104,6 +105,7 @@
 	if err != nil {
 		return errors.CombineErrors(errors.Wrap(err, "jobctl: replicated log"), c.store.Close())
 	}
+	c.meetMembers()
 	return nil
 }
 
@@ -142,7 +144,39 @@
 	if _, err := net.ResolveTCPAddr("tcp", addr); err != nil {
 		return
 	}
-	c.peers.Add(addr, wire.NewLink(addr, c.id, c.mux, c.env.Log, nil))
+	c.peers.Add(addr, wire.NewLink(addr, c.id, c.mux, c.env.Log, c.tellReplicas))
+}
+
+// meetMembers takes the replicas' addresses from the membership that this one
+// holds. The seeds may name none of them.
+func (c *Control) meetMembers() {
+	st := c.node.Status()
+	r := seek.Replicas{Index: st.MembersAt}
+	for _, m := range st.Members {
+		c.meet(m.Name)
+		if !slices.Contains(r.Addrs, m.Name) {
+			r.Addrs = append(r.Addrs, m.Name)
+		}
+	}
+	c.finder.Learn(r)
+}
+
+// tellReplicas tells another control process which replicas there are, at the
+// beginning of a session and after each change. One without a log learns it this
+// way, and can point others to them.
+func (c *Control) tellReplicas(ctx context.Context, s *wire.Session) {
+	told, first := uint64(0), true
+	_ = kern.Every(ctx, tellCheck, func() {
+		r := c.finder.Replicas()
+		if len(r.Addrs) == 0 || !first && r.Index == told {
+			return
+		}
+		if err := c.finder.Tell(ctx, s); err != nil {
+			c.env.Log.Debug("replicas not told", zap.String("to", s.Peer().Name), zap.Error(err))
+			return
+		}
+		told, first = r.Index, false
+	})
 }
 
 func (c *Control) handle() {
@@ -159,14 +193,12 @@
 }
 
 // tellLeader answers who leads as far as this process knows.
-func (c *Control) tellLeader(context.Context, wire.Peer, *wire.LeaderRequest) (*wire.LeaderReply, error) {
-	if c.node == nil {
-		return &wire.LeaderReply{}, nil
-	}
-	st := c.node.Status()
-	rep := &wire.LeaderReply{Leading: c.leading() != nil, Leader: st.Leader}
-	for _, m := range st.Members {
-		rep.Members = append(rep.Members, m.Name)
+func (c *Control) tellLeader(_ context.Context, _ wire.Peer, req *wire.LeaderRequest) (*wire.LeaderReply, error) {
+	c.finder.Learn(seek.Replicas{Addrs: req.Members, Index: req.Index})
+	known := c.finder.Replicas()
+	rep := &wire.LeaderReply{Leader: c.finder.Leader(), Members: known.Addrs, Index: known.Index}
+	if c.node != nil {
+		rep.Leading, rep.Leader = c.leading() != nil, c.node.Status().Leader
 	}
 	return rep, nil
 }
@@ -194,6 +226,7 @@
 
 // announce tells the log whom to ask to be taken in, while it isn't a member.
 func (c *Control) announce() {
+	c.meetMembers()
 	st := c.node.Status()
 	if st.Role != replog.Waiting && st.Leader != "" {
 		return
@@ -232,6 +265,11 @@
 func (c *Control) Reload(s kern.Settings) {
 	if next, ok := s.(*Settings); ok {
 		c.finder.SetSeeds(next.replicas())
+		if c.node != nil {
+			for _, addr := range next.replicas() {
+				c.meet(addr)
+			}
+		}
 	}
 }
 
--- a/internal/jobctl/orders.go
+++ b/internal/jobctl/orders.go
@@ -202,7 +202,6 @@
 	st := node.Status()
 	voters, listed := 0, ""
 	for _, m := range st.Members {
-		l.c.meet(m.Name)
 		listed += fmt.Sprintf("%s/%s/%s ", m.Name, m.Incarnation, m.Role)
 		if m.Role == replog.Voter {
 			voters++
--- a/internal/replog/status.go
+++ b/internal/replog/status.go
@@ -27,6 +27,7 @@
 	DiskFull    bool         `json:"diskFull"`          // nothing is acknowledged meanwhile
 	Refused     string       `json:"refused,omitempty"` // why the folder may never vote again
 	Members     []Member     `json:"members"`
+	MembersAt   uint64       `json:"membersAt"` // index of the entry that set them
 	Voters      []VoterHeard `json:"voters"`
 	Peers       []PeerStatus `json:"peers,omitempty"`   // on the leader
 	Repairs     []Repair     `json:"repairs,omitempty"` // on the leader
@@ -91,7 +92,7 @@
 		Last: c.log.lastIndex(), First: c.log.base + 1, LogBytes: c.log.bytes,
 		Snapshot: n.st.Snapshot().GetIndex(),
 		Lease:    c.leading.leaseDeadline, Vouched: c.hello.vouched, DiskFull: c.full,
-		Refused: id.Refused, Members: c.members(),
+		Refused: id.Refused, Members: c.members(), MembersAt: c.history.latest().index,
 		Waiting: c.waiting(), Voters: c.votersHeard(),
 	}
 	if c.role == Leader {
--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -36,6 +36,12 @@
 // ErrNone means that no leader was found in time. Nothing was sent.
 var ErrNone = errors.New("no leader of control is in reach")
 
+// Replicas are the addresses of the replicas of the log.
+type Replicas struct {
+	Addrs []string
+	Index uint64 // of the log entry that set them; a higher one is newer
+}
+
 // Finder keeps a session to the leading control process.
 type Finder struct {
 	id  wire.Identity
@@ -45,7 +51,7 @@
 
 	mu     sync.Mutex
 	seeds  []string
-	known  []string // as control told
+	known  Replicas // the newest that anyone told
 	leader string   // where the last answer pointed
 	sess   *wire.Session
 	found  bool      // there has been a session
@@ -102,7 +108,7 @@
 			list = append(list, addr)
 		}
 	}
-	for _, addr := range f.known {
+	for _, addr := range f.known.Addrs {
 		add(addr)
 	}
 	for _, addr := range f.seeds {
@@ -134,7 +140,7 @@
 		return false
 	}
 	defer func() { _ = s.Close() }()
-	rep, err := ask(ctx, s, deadline)
+	rep, err := f.ask(ctx, s, deadline)
 	if err != nil {
 		f.miss(addr, err)
 		return false
@@ -157,11 +163,50 @@
 	return tryTimeout
 }
 
-func ask(ctx context.Context, s *wire.Session, deadline time.Time) (*wire.LeaderReply, error) {
+func (f *Finder) ask(ctx context.Context, s *wire.Session, deadline time.Time) (*wire.LeaderReply, error) {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	known := f.Replicas()
 	rep := &wire.LeaderReply{}
-	return rep, s.Call(ctx, wire.MethodLeader, &wire.LeaderRequest{}, rep)
+	return rep, s.Call(ctx, wire.MethodLeader, &wire.LeaderRequest{Members: known.Addrs, Index: known.Index}, rep)
+}
+
+// Tell exchanges with a control process which replicas there are.
+func (f *Finder) Tell(ctx context.Context, s *wire.Session) error {
+	rep, err := f.ask(ctx, s, time.Now().Add(tryTimeout))
+	if err != nil {
+		return errors.Wrap(err, "tell of the replicas")
+	}
+	f.Learn(Replicas{Addrs: rep.Members, Index: rep.Index})
+	return nil
+}
+
+// Learn takes note of the replicas that the log or another process names, unless
+// newer ones are known.
+func (f *Finder) Learn(r Replicas) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(r.Addrs) == 0 || len(r.Addrs) > maxKnown || r.Index < f.known.Index {
+		return
+	}
+	if !slices.Equal(r.Addrs, f.known.Addrs) {
+		f.log.Info("replicas known", zap.Strings("addrs", r.Addrs), zap.Uint64("index", r.Index), zap.Uint64("before", f.known.Index))
+	}
+	f.known = r
+}
+
+// Replicas returns the newest replicas that are known.
+func (f *Finder) Replicas() Replicas {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.known
+}
+
+// Leader returns where the leader is or was last, empty if unknown.
+func (f *Finder) Leader() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leader
 }
 
 // miss notes that a candidate didn't answer.
@@ -181,11 +226,9 @@
 }
 
 func (f *Finder) note(addr string, rep *wire.LeaderReply) {
+	f.Learn(Replicas{Addrs: rep.Members, Index: rep.Index})
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(rep.Members) > 0 && len(rep.Members) <= maxKnown {
-		f.known = rep.Members
-	}
 	switch {
 	case rep.Leading:
 		f.leader = addr
@@ -264,7 +307,7 @@
 func (f *Finder) Known() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	list := slices.Clone(f.known)
+	list := slices.Clone(f.known.Addrs)
 	for _, addr := range f.seeds {
 		if !slices.Contains(list, addr) {
 			list = append(list, addr)
