Finders keep up with the replicas while they have a leader

The finder asks its leader every 10 s now. TestReplicasThatJoinAreKnownWhenTheLeaderIsLost: failed (the new replica unknown after 20 s), passes.

--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/knapweedlug/knapweedlug/internal/kern"
 	"github.com/knapweedlug/knapweedlug/internal/wire"
@@ -29,6 +30,9 @@
 	// suspectFor is how long a candidate that didn't answer is tried last. Most
 	// freezes and cuts take longer.
 	suspectFor = 2 * time.Second
+	// refreshEvery is how often the leader is asked which replicas there are. With
+	// 13,000 agents these are 1,300 short calls a second.
+	refreshEvery = 10 * time.Second
 	// maxKnown bounds the addresses that are remembered.
 	maxKnown = 64
 )
@@ -48,6 +52,8 @@
 	mux *wire.Mux
 	log *zap.Logger
 	up  func(ctx context.Context, s *wire.Session)
+	// refresh is how often the leader is asked which replicas there are.
+	refresh time.Duration
 
 	mu     sync.Mutex
 	seeds  []string
@@ -66,11 +72,19 @@
 func New(id wire.Identity, seeds []string, log *zap.Logger, up func(ctx context.Context, s *wire.Session)) *Finder {
 	log.Info("seeds", zap.Strings("addrs", seeds))
 	return &Finder{
-		id: id, mux: wire.NewMux(log), log: log, up: up, seeds: seeds,
+		refresh: refreshEvery,
+		id:      id, mux: wire.NewMux(log), log: log, up: up, seeds: seeds,
 		changed: make(chan struct{}), suspects: map[string]time.Time{}, lost: time.Now(),
 	}
 }
 
+// WithRefresh returns the Finder with another time between two looks for new
+// replicas. It is to be called before Run.
+func (f *Finder) WithRefresh(d time.Duration) *Finder {
+	f.refresh = d
+	return f
+}
+
 // SetSeeds replaces the addresses from the settings.
 func (f *Finder) SetSeeds(seeds []string) {
 	f.mu.Lock()
@@ -245,14 +259,30 @@
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
+	f.attend(ctx, addr, s)
+	f.set(nil)
+	f.suspect(addr)
+	f.log.Warn("leader lost", zap.String("addr", addr))
+}
+
+// attend serves the session, and keeps up with the replicas meanwhile.
+func (f *Finder) attend(ctx context.Context, addr string, s *wire.Session) {
+	ctx, cancel := context.WithCancel(ctx)
+	var g errgroup.Group
+	g.Go(func() error {
+		return kern.Every(ctx, f.refresh, func() {
+			if err := f.Tell(ctx, s); err != nil {
+				f.log.Debug("replicas not asked for", zap.String("addr", addr), zap.Error(err))
+			}
+		})
+	})
 	if f.up != nil {
 		f.up(ctx, s)
 	} else {
 		_ = f.mux.Serve(ctx, s)
 	}
-	f.set(nil)
-	f.suspect(addr)
-	f.log.Warn("leader lost", zap.String("addr", addr))
+	cancel()
+	_ = g.Wait() // never an error
 }
 
 func (f *Finder) set(s *wire.Session) {
--- a/internal/seek/seek_test.go
+++ b/internal/seek/seek_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,6 +25,12 @@
 
 // control starts a control process that answers who leads.
 func control(t *testing.T, answer func() *wire.LeaderReply) string {
+	t.Helper()
+	return controlUntil(context.Background(), t, answer)
+}
+
+// controlUntil does the same until ctx is done.
+func controlUntil(ctx context.Context, t *testing.T, answer func() *wire.LeaderReply) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -30,7 +38,7 @@
 	wire.HandleCall(mux, wire.MethodLeader, func(context.Context, wire.Peer, *wire.LeaderRequest) (*wire.LeaderReply, error) {
 		return answer(), nil
 	})
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(ctx)
 	var g errgroup.Group
 	g.Go(func() error { return wire.NewServer(ident("control", "c"), mux, zap.NewNop(), nil).Serve(ctx, ln) })
 	t.Cleanup(func() {
@@ -96,3 +104,22 @@
 	_, err := f.Session(ctx)
 	require.ErrorIs(t, err, seek.ErrNone)
 }
+
+func TestReplicasThatJoinAreKnownWhenTheLeaderIsLost(t *testing.T) {
+	var members atomic.Pointer[[]string]
+	next := control(t, func() *wire.LeaderReply { return &wire.LeaderReply{Leading: true} })
+	ctx, fail := context.WithCancel(context.Background())
+	defer fail()
+	first := controlUntil(ctx, t, func() *wire.LeaderReply {
+		return &wire.LeaderReply{Leading: true, Members: *members.Load(), Index: uint64(len(*members.Load()))}
+	})
+	members.Store(&[]string{first})
+	f := seek.New(ident("entry", "e"), []string{first}, zap.NewNop(), nil).WithRefresh(20 * time.Millisecond)
+	run(t, f)
+	_, err := f.Session(t.Context())
+	require.NoError(t, err)
+	members.Store(&[]string{first, next})
+	require.Eventually(t, func() bool { return slices.Contains(f.Known(), next) }, 20*time.Second, time.Millisecond)
+	fail()
+	require.Eventually(t, func() bool { return f.Leader() == next && f.Found() }, 20*time.Second, time.Millisecond)
+}
