--- a/internal/peers/streams.go
+++ b/internal/peers/streams.go
@@ -130,7 +130,8 @@
 	return nil
 }
 
-// note logs that a peer has gone out of reach, once until it is back. Only run of that peer calls it.
+// note logs that a peer has gone out of reach, once until it is back. Only run
+// of that peer calls it.
 func (s *Streams) note(name string, p *peer, reached bool, err error) {
 	if p.lost && !reached {
 		return
