A slow leader that was suspected once is found again

What callers saw would be 503 for as long as it lasts: once a finder had missed a leader whose answer takes between 120 and 350 ms, it gave it 120 ms in every round, and each miss renewed the suspicion. Finding takes four round trips (connect, two of the handshake, the question), so one region of 20 ms one way or a slowed host is enough. TestSlowLeaderIsFoundAfterItWasSuspected (go test -race -run TestSlowLeader ./internal/seek): failed after 10 s without a session, passes in about 2.5 s. A miss no longer prolongs a suspicion, so every 2 s a candidate gets 350 ms again; a frozen one costs others one such try in 2 s (TestFrozenControlProcessHoldsNobodyUp unchanged).

--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -229,11 +229,15 @@
 	f.suspect(addr)
 }
 
-// suspect lets an address be tried last for a while, whoever points to it.
+// suspect lets an address be tried last for a while, whoever points to it. Another
+// miss in that time doesn't prolong it: suspectTimeout may be too short for a host
+// that is far away or slow.
 func (f *Finder) suspect(addr string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.suspects[addr] = time.Now().Add(suspectFor)
+	if now := time.Now(); !now.Before(f.suspects[addr]) {
+		f.suspects[addr] = now.Add(suspectFor)
+	}
 	if f.leader == addr {
 		f.leader = ""
 	}
--- a/internal/seek/seek_test.go
+++ b/internal/seek/seek_test.go
@@ -123,3 +123,24 @@
 	fail()
 	require.Eventually(t, func() bool { return f.Leader() == next && f.Found() }, 20*time.Second, time.Millisecond)
 }
+
+// A leader that is far away, or whose host is slow, needs longer than a candidate
+// is given that failed a moment ago.
+func TestSlowLeaderIsFoundAfterItWasSuspected(t *testing.T) {
+	var asked atomic.Int64
+	leader := control(t, func() *wire.LeaderReply {
+		delay := 200 * time.Millisecond // between the two patiences
+		if asked.Add(1) == 1 {
+			delay = 500 * time.Millisecond
+		}
+		<-time.After(delay)
+		return &wire.LeaderReply{Leading: true}
+	})
+	f := seek.New(ident("entry", "e"), []string{leader}, zap.NewNop(), nil)
+	run(t, f)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	_, err := f.Session(ctx)
+	require.NoError(t, err)
+	require.Greater(t, asked.Load(), int64(1))
+}
