The leader's membership goes before what others tell

A membership with a higher index replaced the known one, whoever told it, and one with the same index did too. Three ways in which that is wrong: an entry that is cut off the log again (a former leader spreads it when it is back), a cluster founded anew after a loss beyond the tolerance (its indexes begin at 1, so long-lived processes and control without a log keep the old addresses for good and teach them to the new replicas), and any agent with a key of its own, which could name what it likes. The leader itself passed on what it was told. Callers would see 503 once the leader is lost and the known addresses and seeds name nobody who leads. Failed before (go test -race -run 'TestLeaderCorrects|TestMembershipsOfOne|TestLeaderNames' ./internal/seek ./internal/jobctl), pass now: a leader answers with the membership of its own log, an answer of the leader replaces what is known, and hearsay needs a higher index.

--- a/internal/jobctl/control.go
+++ b/internal/jobctl/control.go
@@ -150,15 +150,26 @@
 // meetMembers takes the replicas' addresses from the membership that this one
 // holds. The seeds may name none of them.
 func (c *Control) meetMembers() {
-	st := c.node.Status()
+	r := replicasOf(c.node.Status())
+	for _, addr := range r.Addrs {
+		c.meet(addr)
+	}
+	if c.leading() != nil {
+		c.finder.Settle(r)
+	} else {
+		c.finder.Learn(r)
+	}
+}
+
+// replicasOf returns the addresses of the membership that a replica holds.
+func replicasOf(st replog.Status) seek.Replicas {
 	r := seek.Replicas{Index: st.MembersAt}
 	for _, m := range st.Members {
-		c.meet(m.Name)
 		if !slices.Contains(r.Addrs, m.Name) {
 			r.Addrs = append(r.Addrs, m.Name)
 		}
 	}
-	c.finder.Learn(r)
+	return r
 }
 
 // tellReplicas tells another control process which replicas there are, at the
@@ -194,11 +205,16 @@
 
 // tellLeader answers who leads as far as this process knows.
 func (c *Control) tellLeader(_ context.Context, _ wire.Peer, req *wire.LeaderRequest) (*wire.LeaderReply, error) {
+	if c.leading() != nil {
+		st := c.node.Status()
+		own := replicasOf(st)
+		return &wire.LeaderReply{Leading: true, Leader: st.Leader, Members: own.Addrs, Index: own.Index}, nil
+	}
 	c.finder.Learn(seek.Replicas{Addrs: req.Members, Index: req.Index})
 	known := c.finder.Replicas()
 	rep := &wire.LeaderReply{Leader: c.finder.Leader(), Members: known.Addrs, Index: known.Index}
 	if c.node != nil {
-		rep.Leading, rep.Leader = c.leading() != nil, c.node.Status().Leader
+		rep.Leader = c.node.Status().Leader
 	}
 	return rep, nil
 }
--- a/internal/jobctl/control_test.go
+++ b/internal/jobctl/control_test.go
@@ -259,3 +259,18 @@
 	require.Len(t, again.Starts, 1)
 	require.False(t, again.Starts[0].Fresh)
 }
+
+// Whoever asks for the leader also tells which replicas it knows. What it tells may
+// come from another log.
+func TestLeaderNamesItsOwnMembership(t *testing.T) {
+	s := startSingle(t)
+	caller := s.dial("jobentry", "e1")
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	rep := &wire.LeaderReply{}
+	for range 2 {
+		require.NoError(t, caller.Call(ctx, wire.MethodLeader, &wire.LeaderRequest{Members: []string{"127.0.0.1:1"}, Index: 1 << 40}, rep))
+		require.True(t, rep.Leading)
+		require.Equal(t, []string{s.addr}, rep.Members)
+	}
+}
--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -43,7 +43,7 @@
 // Replicas are the addresses of the replicas of the log.
 type Replicas struct {
 	Addrs []string
-	Index uint64 // of the log entry that set them; a higher one is newer
+	Index uint64 // of the log entry that set them; a higher one is newer in the same log
 }
 
 // Finder keeps a session to the leading control process.
@@ -57,7 +57,7 @@
 
 	mu     sync.Mutex
 	seeds  []string
-	known  Replicas // the newest that anyone told
+	known  Replicas // what the leader told last, or newer hearsay
 	leader string   // where the last answer pointed
 	sess   *wire.Session
 	found  bool      // there has been a session
@@ -191,16 +191,42 @@
 	if err != nil {
 		return errors.Wrap(err, "tell of the replicas")
 	}
-	f.Learn(Replicas{Addrs: rep.Members, Index: rep.Index})
+	f.hear(rep)
 	return nil
 }
 
+// hear takes note of the replicas that an answer names.
+func (f *Finder) hear(rep *wire.LeaderReply) {
+	r := Replicas{Addrs: rep.Members, Index: rep.Index}
+	if rep.Leading {
+		f.Settle(r)
+	} else {
+		f.Learn(r)
+	}
+}
+
 // Learn takes note of the replicas that the log or another process names, unless
-// newer ones are known.
+// others are known that are as new.
 func (f *Finder) Learn(r Replicas) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(r.Addrs) == 0 || len(r.Addrs) > maxKnown || r.Index < f.known.Index {
+	if len(f.known.Addrs) == 0 || r.Index > f.known.Index {
+		f.replace(r)
+	}
+}
+
+// Settle takes note of the replicas that the leader names, whatever is known. What
+// others told may come from an entry that was cut off the log again, or from the log
+// of a cluster that was founded before this one.
+func (f *Finder) Settle(r Replicas) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.replace(r)
+}
+
+// replace stores replicas. The caller holds mu.
+func (f *Finder) replace(r Replicas) {
+	if len(r.Addrs) == 0 || len(r.Addrs) > maxKnown {
 		return
 	}
 	if !slices.Equal(r.Addrs, f.known.Addrs) {
@@ -244,7 +270,7 @@
 }
 
 func (f *Finder) note(addr string, rep *wire.LeaderReply) {
-	f.Learn(Replicas{Addrs: rep.Members, Index: rep.Index})
+	f.hear(rep)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
--- a/internal/seek/seek_test.go
+++ b/internal/seek/seek_test.go
@@ -144,3 +144,29 @@
 	require.NoError(t, err)
 	require.Greater(t, asked.Load(), int64(1))
 }
+
+// An entry that set a membership may be cut off the log again, and a cluster may be
+// founded anew: a higher index isn't always newer. The leader knows.
+func TestLeaderCorrectsAMembershipThatIsNotItsOwn(t *testing.T) {
+	var leader string
+	leader = control(t, func() *wire.LeaderReply {
+		return &wire.LeaderReply{Leading: true, Members: []string{leader}, Index: 3}
+	})
+	f := seek.New(ident("entry", "e"), []string{leader}, zap.NewNop(), nil)
+	f.Learn(seek.Replicas{Addrs: []string{"127.0.0.1:1"}, Index: 500})
+	run(t, f)
+	_, err := f.Session(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, seek.Replicas{Addrs: []string{leader}, Index: 3}, f.Replicas())
+}
+
+func TestMembershipsOfOneIndexDoNotReplaceEachOther(t *testing.T) {
+	f := seek.New(ident("entry", "e"), nil, zap.NewNop(), nil)
+	first := seek.Replicas{Addrs: []string{"127.0.0.1:1"}, Index: 5}
+	f.Learn(first)
+	f.Learn(seek.Replicas{Addrs: []string{"127.0.0.1:2"}, Index: 5})
+	require.Equal(t, first, f.Replicas())
+	next := seek.Replicas{Addrs: []string{"127.0.0.1:2"}, Index: 6}
+	f.Learn(next)
+	require.Equal(t, next, f.Replicas())
+}
