Control without a log names a leader only while it has a session to it

Two control processes without a folder ask each other and passed on what they had heard, so the name of a leader that is gone went round between them for as long as nobody led. Each finder that hears it gives the address 350 ms, and again once its suspicion has lapsed, ahead of all others. TestRelayPassesNoHintOn (go test -race -run TestRelayPasses ./internal/jobctl): failed, passes.

--- a/internal/jobctl/control.go
+++ b/internal/jobctl/control.go
@@ -212,9 +212,12 @@
 	}
 	c.finder.Learn(seek.Replicas{Addrs: req.Members, Index: req.Index})
 	known := c.finder.Replicas()
-	rep := &wire.LeaderReply{Leader: c.finder.Leader(), Members: known.Addrs, Index: known.Index}
-	if c.node != nil {
+	rep := &wire.LeaderReply{Members: known.Addrs, Index: known.Index}
+	switch {
+	case c.node != nil:
 		rep.Leader = c.node.Status().Leader
+	case c.finder.Found():
+		rep.Leader = c.finder.Leader() // hearsay isn't passed on
 	}
 	return rep, nil
 }
--- a/internal/jobctl/control_test.go
+++ b/internal/jobctl/control_test.go
@@ -274,3 +274,56 @@
 		require.Equal(t, []string{s.addr}, rep.Members)
 	}
 }
+
+// startRelay starts a control process without a folder.
+func startRelay(t *testing.T, addr string, seeds ...string) {
+	t.Helper()
+	cfg := &jobctl.Settings{
+		Address: addr, Desk: freeAddr(t), Seeds: seeds, HoldMs: 10000, ThawMs: 300, Remote: 3, StatusS: 120, StopMs: 400, RestoreM: 600,
+	}
+	require.Empty(t, cfg.Validate())
+	c, err := jobctl.New(env(addr), cfg)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	g.Go(func() error { return c.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		_ = g.Wait()
+	})
+}
+
+func TestRelayPassesNoHintOn(t *testing.T) {
+	// A control process that goes on naming a leader that is gone.
+	gone, relay := freeAddr(t), freeAddr(t)
+	_, port, err := net.SplitHostPort(relay)
+	require.NoError(t, err)
+	stale := net.JoinHostPort("127.0.0.2", port) // ports are the same everywhere
+	ln, err := net.Listen("tcp", stale)
+	require.NoError(t, err)
+	asked := make(chan struct{}, 1000)
+	mux := wire.NewMux(zap.NewNop())
+	wire.HandleCall(mux, wire.MethodLeader, func(context.Context, wire.Peer, *wire.LeaderRequest) (*wire.LeaderReply, error) {
+		asked <- struct{}{}
+		return &wire.LeaderReply{Leader: gone}, nil
+	})
+	e := env(stale)
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	g.Go(func() error {
+		return wire.NewServer(wire.NewIdentity(e.Node, jobctl.RoleName, e.Keys, "1"), mux, zap.NewNop(), nil).Serve(ctx, ln)
+	})
+	t.Cleanup(func() {
+		cancel()
+		_ = g.Wait()
+	})
+	startRelay(t, relay, stale)
+	s := &single{t: t, addr: relay}
+	caller := s.dial("jobentry", "e1")
+	rep := &wire.LeaderReply{}
+	for range 20 {
+		<-asked
+		require.NoError(t, caller.Call(ctx, wire.MethodLeader, &wire.LeaderRequest{}, rep))
+		require.Empty(t, rep.Leader, "two processes that pass a hint on to each other never forget it")
+	}
+}
