Finders ask for the replicas at times of their own

After an election all agents find the leader within about a second, and each asked it again 10 s later: 13,000 calls at once instead of 1,300 a second, while an agent leaves a leader that is silent for 0.45 s. TestFindersDoNotAskAllAtOnce (go test -race -run TestFindersDoNot ./internal/seek): 40 finders asked within 113 ms of each other with a refresh of 2 s, failed; passes now that the first look comes at a random time.

--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -300,6 +300,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	var g errgroup.Group
 	g.Go(func() error {
+		// All agents have found a new leader within a second.
+		kern.Sleep(ctx, rand.N(f.refresh))
 		return kern.Every(ctx, f.refresh, func() {
 			if err := f.Tell(ctx, s); err != nil {
 				f.log.Debug("replicas not asked for", zap.String("addr", addr), zap.Error(err))
--- a/internal/seek/seek_test.go
+++ b/internal/seek/seek_test.go
@@ -170,3 +170,25 @@
 	f.Learn(next)
 	require.Equal(t, next, f.Replicas())
 }
+
+// After an election all agents find the leader at about the same time.
+func TestFindersDoNotAskAllAtOnce(t *testing.T) {
+	const finders, refresh = 40, 2 * time.Second
+	asked := make(chan time.Time, 100*finders)
+	leader := control(t, func() *wire.LeaderReply {
+		asked <- time.Now()
+		return &wire.LeaderReply{Leading: true}
+	})
+	for range finders {
+		run(t, seek.New(ident("entry", "e"), []string{leader}, zap.NewNop(), nil).WithRefresh(refresh))
+	}
+	for range finders {
+		<-asked // who leads
+	}
+	first := <-asked
+	last := first
+	for range finders - 1 {
+		last = <-asked
+	}
+	require.Greater(t, last.Sub(first), refresh/4)
+}
