Settings that change while the roles are made are taken up

A reload before the roles were made, by SIGHUP or by the look at the file, reached none of them and was logged as done. TestSettingsThatChangeDuringTheStartAreTakenUp (go test -race -run TestSettingsThatChange ./internal/kern): failed after 5 s, passes. Reload checks a file against the daemon's own roles now, which are the registered ones outside tests.

--- a/internal/kern/daemon.go
+++ b/internal/kern/daemon.go
@@ -36,6 +36,11 @@
 	abort   func() // closes aborted
 	aborted chan struct{}
 
+	// reloading is held while settings are handed to the roles, so that older ones
+	// never come after newer ones.
+	reloading sync.Mutex
+	early     *Config // read again before the roles were made; guarded by reloading
+
 	mu       sync.Mutex
 	parts    []part
 	addr     string
@@ -76,11 +81,25 @@
 // Reload reads the settings file again and hands roles their part. A file that
 // can't be used changes nothing.
 func (d *Daemon) Reload(path, why string) {
-	cfg, problems, err := Load(path)
+	cfg, problems, err := load(path, d.roles)
 	if err != nil || len(problems) > 0 {
 		d.log.Error("reload refused", zap.String("why", why), zap.Error(err), zap.Stringers("problems", problems))
 		return
 	}
+	d.reloading.Lock()
+	defer d.reloading.Unlock()
+	d.mu.Lock()
+	made := d.parts != nil
+	d.mu.Unlock()
+	if !made {
+		d.early = cfg
+		return
+	}
+	d.hand(cfg, why)
+}
+
+// hand gives the roles their part of new settings. The caller holds reloading.
+func (d *Daemon) hand(cfg *Config, why string) {
 	d.mu.Lock()
 	parts := d.parts
 	d.mu.Unlock()
@@ -167,7 +186,7 @@
 
 // build makes every role that the settings name.
 func (d *Daemon) build(env Env) error {
-	var parts []part
+	parts := []part{}
 	for _, r := range d.roles {
 		s := d.cfg.Role(r.Name())
 		if s == nil {
@@ -182,9 +201,14 @@
 		}
 		parts = append(parts, part{name: r.Name(), run: run})
 	}
+	d.reloading.Lock()
+	defer d.reloading.Unlock()
 	d.mu.Lock()
 	d.parts = parts
 	d.mu.Unlock()
+	if d.early != nil {
+		d.hand(d.early, "changed during the start")
+	}
 	return nil
 }
 
--- a/internal/kern/load.go
+++ b/internal/kern/load.go
@@ -16,7 +16,9 @@
 
 // Load reads and checks a settings file as a whole. It returns every problem at
 // once; the error is for a file that can't be read or isn't JSON.
-func Load(path string) (*Config, []Problem, error) {
+func Load(path string) (*Config, []Problem, error) { return load(path, Roles()) }
+
+func load(path string, roles []Role) (*Config, []Problem, error) {
 	f, err := os.Open(path)
 	if err != nil {
 		return nil, nil, fmt.Errorf("%w: %w", ErrSettings, err)
@@ -29,7 +31,7 @@
 	if len(data) > maxFile {
 		return nil, nil, errors.Wrapf(ErrSettings, "%s is larger than %d bytes", path, maxFile)
 	}
-	cfg, problems, err := Parse(data, Roles())
+	cfg, problems, err := Parse(data, roles)
 	return cfg, problems, errors.Wrapf(err, "reading %s", path)
 }
 
--- /dev/null
+++ b/internal/kern/reload_test.go
@@ -0,0 +1,55 @@
+package kern_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/knapweedlug/knapweedlug/internal/kern"
+)
+
+// slowRole takes long to make, as one does that opens a large data folder.
+type slowRole struct {
+	echoRole
+	asked    chan struct{} // closed when New is called
+	proceed  chan struct{} // New waits until it is closed
+	reloaded chan kern.Settings
+}
+
+func (r *slowRole) New(_ *kern.Env, _ kern.Settings) (kern.Runner, error) {
+	close(r.asked)
+	<-r.proceed
+	return r, nil
+}
+
+func (r *slowRole) Reload(s kern.Settings) { r.reloaded <- s }
+
+func TestSettingsThatChangeDuringTheStartAreTakenUp(t *testing.T) {
+	role := &slowRole{asked: make(chan struct{}), proceed: make(chan struct{}), reloaded: make(chan kern.Settings, 1)}
+	cfg, problems, err := kern.Parse([]byte(settings(`{}`)), []kern.Role{role})
+	require.NoError(t, err)
+	require.Empty(t, problems)
+	log := &buffer{}
+	d := kern.New(cfg, []kern.Role{role}, fixedClock{}, log)
+	var g errgroup.Group
+	g.Go(func() error { return d.Serve(t.Context()) })
+	<-role.asked
+	path := filepath.Join(t.TempDir(), "settings.json")
+	require.NoError(t, os.WriteFile(path, []byte(settings(`{"limit": 5}`)), 0o600))
+	d.Reload(path, "file changed")
+	close(role.proceed)
+	select {
+	case s := <-role.reloaded:
+		require.Equal(t, 5, s.(*echoSettings).Limit)
+	case <-time.After(5 * time.Second):
+		require.Fail(t, "the role keeps the settings from before the change")
+	}
+	require.Eventually(t, func() bool { return strings.Contains(log.String(), `"msg":"reloaded"`) }, 5*time.Second, time.Millisecond)
+	d.Stop()
+	require.NoError(t, g.Wait())
+}
