Control processes stop dialling addresses that nothing names any more

Links to other control processes were only ever added: after each exchange of seeds or replaced host one more address was dialled every 1 to 3 s until the process ended, also when it belonged to another host or role by then, which logs a refusal for each try. Every 10 s links are ended now that neither the membership, the seeds nor what others told name, and that had no session at two looks. TestLinksToPeersThatAreGoneEnd (go test -race ./internal/peers): failed with Retain doing nothing, passes.

--- a/internal/jobctl/control.go
+++ b/internal/jobctl/control.go
@@ -33,6 +33,9 @@
 	leadCheck      = 20 * time.Millisecond // between looks whether this replica leads
 	helloCheck     = 200 * time.Millisecond
 	tellCheck      = 200 * time.Millisecond // between looks whether the replicas have changed
+	// retainEvery is how often links to addresses that nothing names are looked for. Two
+	// looks are far longer than a connection takes.
+	retainEvery = 10 * time.Second
 )
 
 // Control is the role at work.
@@ -233,6 +236,7 @@
 		g.Go(func() error { return c.node.Run(ctx) })
 		g.Go(func() error { return kern.Every(ctx, leadCheck, func() { c.leadOnce(ctx) }) })
 		g.Go(func() error { return kern.Every(ctx, helloCheck, c.announce) })
+		g.Go(func() error { return kern.Every(ctx, retainEvery, c.retain) })
 		watch := newQuorumWatch(c.env, c.meters)
 		g.Go(func() error { return kern.Every(ctx, quorumCheck, func() { watch.look(c.node.Status()) }) })
 	}
@@ -243,6 +247,11 @@
 	return err
 }
 
+// retain ends the links to addresses that neither a membership nor the seeds name.
+func (c *Control) retain() {
+	c.peers.Retain(append(replicasOf(c.node.Status()).Addrs, c.finder.Known()...))
+}
+
 // announce tells the log whom to ask to be taken in, while it isn't a member.
 func (c *Control) announce() {
 	c.meetMembers()
--- a/internal/peers/streams.go
+++ b/internal/peers/streams.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,7 +40,9 @@
 type peer struct {
 	link *wire.Link
 	out  chan *wire.LogMessage
-	lost bool // and logged as such; only run uses it
+	lost bool               // and logged as such; only run uses it
+	stop context.CancelFunc // ends the loops, once they have begun
+	idle bool               // without a session and unnamed at the last Retain
 }
 
 // New returns Streams without peers.
@@ -64,7 +67,8 @@
 
 // begin starts a peer's loops. The caller holds mu.
 func (s *Streams) begin(name string, p *peer) {
-	ctx := s.ctx
+	ctx, stop := context.WithCancel(s.ctx)
+	p.stop = stop
 	s.group.Go(func() error { return p.link.Run(ctx) })
 	s.group.Go(func() error { return s.run(ctx, name, p) })
 }
@@ -86,6 +90,25 @@
 	return g.Wait()
 }
 
+// Retain ends the links to peers that aren't among names and have had no session, at
+// this call and the one before. Their addresses may belong to other hosts by now. A
+// peer that speaks again is to be added again.
+func (s *Streams) Retain(names []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, p := range s.peers {
+		_, err := p.link.Session()
+		unused := err != nil && !slices.Contains(names, name)
+		if unused && p.idle && p.stop != nil {
+			p.stop()
+			delete(s.peers, name)
+			s.log.Info("peer forgotten", zap.String("peer", name), zap.Error(err))
+			continue
+		}
+		p.idle = unused
+	}
+}
+
 // Link returns the link to a peer.
 func (s *Streams) Link(name string) (*wire.Link, bool) {
 	s.mu.Lock()
--- a/internal/peers/streams_test.go
+++ b/internal/peers/streams_test.go
@@ -82,3 +82,33 @@
 		return err == nil
 	}, patience, time.Millisecond)
 }
+
+func TestLinksToPeersThatAreGoneEnd(t *testing.T) {
+	s := peers.New(zap.NewNop())
+	add := func(name, addr string) *wire.Link {
+		link := wire.NewLink(addr, ident("a"), wire.NewMux(zap.NewNop()), zap.NewNop(), nil)
+		s.Add(name, link)
+		return link
+	}
+	ln := listen(t, "127.0.0.1:0")
+	start(t, func(ctx context.Context) error {
+		return wire.NewServer(ident("up"), wire.NewMux(zap.NewNop()), zap.NewNop(), nil).Serve(ctx, ln)
+	})
+	up := add("up", ln.Addr().String())
+	add("named", closedAddr(t))
+	gone := add("gone", closedAddr(t))
+	tried := gone.Changed()
+	start(t, s.Run)
+	<-tried
+	require.Eventually(t, func() bool { _, err := up.Session(); return err == nil }, patience, time.Millisecond)
+	has := func(name string) bool {
+		_, ok := s.Link(name)
+		return ok
+	}
+	s.Retain([]string{"named"})
+	require.True(t, has("gone"), "it may have been added a moment ago")
+	s.Retain([]string{"named"})
+	require.False(t, has("gone"))
+	require.True(t, has("named"))
+	require.True(t, has("up"))
+}
