--- a/internal/jobctl/control.go
+++ b/internal/jobctl/control.go
@@ -33,6 +33,9 @@
 	leadCheck      = 20 * time.Millisecond // between looks whether this replica leads
 	helloCheck     = 200 * time.Millisecond
 	tellCheck      = 200 * time.Millisecond // between looks whether the replicas have changed
+	// retainEvery is how often links to addresses that nothing names are looked for. Two
+	// looks are far longer than a connection takes.
+	retainEvery = 10 * time.Second
 )
 
 // Control is the role at work.
@@ -150,15 +153,26 @@
 // meetMembers takes the replicas' addresses from the membership that this one
 // holds. The seeds may name none of them.
 func (c *Control) meetMembers() {
-	st := c.node.Status()
+	r := replicasOf(c.node.Status())
+	for _, addr := range r.Addrs {
+		c.meet(addr)
+	}
+	if c.leading() != nil {
+		c.finder.Settle(r)
+	} else {
+		c.finder.Learn(r)
+	}
+}
+
+// replicasOf returns the addresses of the membership that a replica holds.
+func replicasOf(st replog.Status) seek.Replicas {
 	r := seek.Replicas{Index: st.MembersAt}
 	for _, m := range st.Members {
-		c.meet(m.Name)
 		if !slices.Contains(r.Addrs, m.Name) {
 			r.Addrs = append(r.Addrs, m.Name)
 		}
 	}
-	c.finder.Learn(r)
+	return r
 }
 
 // tellReplicas tells another control process which replicas there are, at the
@@ -183,7 +197,7 @@
 	wire.HandleCall(c.mux, wire.MethodLeader, c.tellLeader)
 	wire.HandleCall(c.mux, wire.MethodJob, c.handleJob)
 	c.mux.Handle(wire.MethodAttend, c.handleAttend)
-	c.mux.Handle(wire.MethodLog, peers.Receive(RoleName, func(m *wire.LogMessage) {
+	c.mux.Handle(wire.MethodLog, c.peers.Receive(RoleName, func(m *wire.LogMessage) {
 		if c.node == nil {
 			return
 		}
@@ -194,11 +208,19 @@
 
 // tellLeader answers who leads as far as this process knows.
 func (c *Control) tellLeader(_ context.Context, _ wire.Peer, req *wire.LeaderRequest) (*wire.LeaderReply, error) {
+	if c.leading() != nil {
+		st := c.node.Status()
+		own := replicasOf(st)
+		return &wire.LeaderReply{Leading: true, Leader: st.Leader, Members: own.Addrs, Index: own.Index}, nil
+	}
 	c.finder.Learn(seek.Replicas{Addrs: req.Members, Index: req.Index})
 	known := c.finder.Replicas()
-	rep := &wire.LeaderReply{Leader: c.finder.Leader(), Members: known.Addrs, Index: known.Index}
-	if c.node != nil {
-		rep.Leading, rep.Leader = c.leading() != nil, c.node.Status().Leader
+	rep := &wire.LeaderReply{Members: known.Addrs, Index: known.Index}
+	switch {
+	case c.node != nil:
+		rep.Leader = c.node.Status().Leader
+	case c.finder.Found():
+		rep.Leader = c.finder.Leader() // hearsay isn't passed on
 	}
 	return rep, nil
 }
@@ -214,6 +236,7 @@
 		g.Go(func() error { return c.node.Run(ctx) })
 		g.Go(func() error { return kern.Every(ctx, leadCheck, func() { c.leadOnce(ctx) }) })
 		g.Go(func() error { return kern.Every(ctx, helloCheck, c.announce) })
+		g.Go(func() error { return kern.Every(ctx, retainEvery, c.retain) })
 		watch := newQuorumWatch(c.env, c.meters)
 		g.Go(func() error { return kern.Every(ctx, quorumCheck, func() { watch.look(c.node.Status()) }) })
 	}
@@ -224,6 +247,11 @@
 	return err
 }
 
+// retain ends the links to addresses that neither a membership nor the seeds name.
+func (c *Control) retain() {
+	c.peers.Retain(append(replicasOf(c.node.Status()).Addrs, c.finder.Known()...))
+}
+
 // announce tells the log whom to ask to be taken in, while it isn't a member.
 func (c *Control) announce() {
 	c.meetMembers()
--- a/internal/seek/seek_test.go
+++ b/internal/seek/seek_test.go
@@ -123,3 +123,72 @@
 	fail()
 	require.Eventually(t, func() bool { return f.Leader() == next && f.Found() }, 20*time.Second, time.Millisecond)
 }
+
+// A leader that is far away, or whose host is slow, needs longer than a candidate
+// is given that failed a moment ago.
+func TestSlowLeaderIsFoundAfterItWasSuspected(t *testing.T) {
+	var asked atomic.Int64
+	leader := control(t, func() *wire.LeaderReply {
+		delay := 200 * time.Millisecond // between the two patiences
+		if asked.Add(1) == 1 {
+			delay = 500 * time.Millisecond
+		}
+		<-time.After(delay)
+		return &wire.LeaderReply{Leading: true}
+	})
+	f := seek.New(ident("entry", "e"), []string{leader}, zap.NewNop(), nil)
+	run(t, f)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	_, err := f.Session(ctx)
+	require.NoError(t, err)
+	require.Greater(t, asked.Load(), int64(1))
+}
+
+// An entry that set a membership may be cut off the log again, and a cluster may be
+// founded anew: a higher index isn't always newer. The leader knows.
+func TestLeaderCorrectsAMembershipThatIsNotItsOwn(t *testing.T) {
+	var leader string
+	leader = control(t, func() *wire.LeaderReply {
+		return &wire.LeaderReply{Leading: true, Members: []string{leader}, Index: 3}
+	})
+	f := seek.New(ident("entry", "e"), []string{leader}, zap.NewNop(), nil)
+	f.Learn(seek.Replicas{Addrs: []string{"127.0.0.1:1"}, Index: 500})
+	run(t, f)
+	_, err := f.Session(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, seek.Replicas{Addrs: []string{leader}, Index: 3}, f.Replicas())
+}
+
+func TestMembershipsOfOneIndexDoNotReplaceEachOther(t *testing.T) {
+	f := seek.New(ident("entry", "e"), nil, zap.NewNop(), nil)
+	first := seek.Replicas{Addrs: []string{"127.0.0.1:1"}, Index: 5}
+	f.Learn(first)
+	f.Learn(seek.Replicas{Addrs: []string{"127.0.0.1:2"}, Index: 5})
+	require.Equal(t, first, f.Replicas())
+	next := seek.Replicas{Addrs: []string{"127.0.0.1:2"}, Index: 6}
+	f.Learn(next)
+	require.Equal(t, next, f.Replicas())
+}
+
+// After an election all agents find the leader at about the same time.
+func TestFindersDoNotAskAllAtOnce(t *testing.T) {
+	const finders, refresh = 40, 2 * time.Second
+	asked := make(chan time.Time, 100*finders)
+	leader := control(t, func() *wire.LeaderReply {
+		asked <- time.Now()
+		return &wire.LeaderReply{Leading: true}
+	})
+	for range finders {
+		run(t, seek.New(ident("entry", "e"), []string{leader}, zap.NewNop(), nil).WithRefresh(refresh))
+	}
+	for range finders {
+		<-asked // who leads
+	}
+	first := <-asked
+	last := first
+	for range finders - 1 {
+		last = <-asked
+	}
+	require.Greater(t, last.Sub(first), refresh/4)
+}
