Failing test: a wide job is taken for late long before its objective has passed

The users count a step wider than a quarter of the room in rounds. The deadlines that the leader plans with don't: a step of 22 tasks, each of which fills one of eleven workers, counts as late after 3.25 s and as of no use after 9.75 s, while its objective is 24.25 s. What counts as of no use is placed after everything else.

go test -race -count=1 -run TestWideJobIsNotTakenForLateBeforeItsObjective ./internal/jobctl fails at input_test.go:77.

--- /dev/null
+++ b/internal/jobctl/input_test.go
@@ -0,0 +1,82 @@
+package jobctl
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/knapweedlug/knapweedlug/internal/allot"
+	"github.com/knapweedlug/knapweedlug/internal/jobs"
+	"github.com/knapweedlug/knapweedlug/internal/kern"
+	"github.com/knapweedlug/knapweedlug/internal/wire"
+)
+
+type stopped time.Time
+
+func (s stopped) Now() time.Time { return time.Time(s) }
+
+// leadOf returns a leader of eleven idle workers of eight accelerators each, with
+// jobs that were just accepted.
+func leadOf(t *testing.T, at time.Time, specs ...*jobs.Spec) *lead {
+	t.Helper()
+	c := &Control{
+		env: &kern.Env{Boot: stopped(at), Clock: stopped(at), Log: zap.NewNop()},
+		cfg: &Settings{Remote: 3}, state: jobs.New(), meters: newMeters(tally.NoopScope),
+	}
+	apply := func(cmd jobs.Command) {
+		cmd.Term, cmd.NowMs = 1, at.UnixMilli()
+		data, err := jobs.Encode(cmd)
+		require.NoError(t, err)
+		res, ok := c.state.Apply(1, data).(jobs.Result)
+		require.True(t, ok)
+		require.NoError(t, res.Err)
+	}
+	apply(jobs.Command{Lead: true})
+	apply(jobs.Command{Config: &jobs.Config{
+		Version:  1,
+		Services: []jobs.Service{{Name: "s"}},
+		Queues:   []jobs.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "s", LimitMs: 1000, Attempts: 2, Slack: 1.5, TargetMs: 250}},
+		Teams:    []jobs.Team{{Name: "t", Keys: []string{"k"}}},
+		Text:     []byte(`{}`),
+	}})
+	for i, spec := range specs {
+		apply(jobs.Command{Submit: &jobs.Submit{
+			ID: fmt.Sprintf("%016x", i), Queue: "q", Service: "s", Team: "t", Attempts: 2, Slack: 1.5, TargetMs: 250, Spec: spec,
+		}})
+	}
+	l := newLead(c, 1)
+	for i := range 11 {
+		name := fmt.Sprintf("h%02d", i)
+		l.hosts[name] = &host{
+			name: name, heard: at, worker: jobs.Worker{Name: name, Born: 1}, out: make(chan *wire.HostOrders, 1),
+			rep: &wire.HostReport{Worker: name, Born: 1, Listed: true, Service: "s", Cpu: 32000, Memory: 131072, Accels: 8},
+		}
+	}
+	return l
+}
+
+func step(tasks int, accels int64, gang bool) *jobs.Spec {
+	return &jobs.Spec{Steps: []jobs.Step{{Count: tasks, CPU: 3700, Accels: accels, EstimateMs: 2000, Gang: gang}}}
+}
+
+// The users' objective counts a step that is wider than a quarter of the room in
+// rounds of a quarter.
+func TestWideJobIsNotTakenForLateBeforeItsObjective(t *testing.T) {
+	at := time.Unix(1_000_000, 0)
+	l := leadOf(t, at, step(2, 8, false), step(22, 8, false), step(4, 8, true))
+	in := l.input()
+	require.Len(t, in.Needs, 3)
+	aim := func(n allot.Need) float64 { return n.Deadline.Sub(at).Seconds() }
+	narrow, wide, gang := in.Needs[0], in.Needs[1], in.Needs[2]
+	once := 1.5 * narrow.Work.Seconds()
+	require.InDelta(t, once+0.25, aim(narrow), 0.001)
+	require.InDelta(t, 8*once+0.25, aim(wide), 0.001, "22 tasks in rounds of 11/4")
+	require.Equal(t, 3*wide.Deadline.Sub(at), wide.Late.Sub(at))
+	require.InDelta(t, once+0.25, aim(gang), 0.001, "the tasks of a gang run at once")
+	require.False(t, wide.Deadline.Before(at.Add(wide.Work+wide.Rest)), "it can still be in time")
+	require.InDelta(t, 7*wide.Work.Seconds(), wide.Rest.Seconds(), 0.001, "the other rounds come after the first")
+}
