--- a/internal/jobctl/control_test.go
+++ b/internal/jobctl/control_test.go
@@ -142,9 +142,15 @@
 
 // report tells of a worker with some runs and ends.
 func (a *agent) report(runs []*wire.RunState, ends ...*wire.RunEnd) {
+	a.t.Helper()
+	a.reportOf("w", runs, ends...)
+}
+
+// reportOf does the same for a worker of a name.
+func (a *agent) reportOf(worker string, runs []*wire.RunState, ends ...*wire.RunEnd) {
 	a.t.Helper()
 	require.NoError(a.t, a.st.Send(&wire.HostReport{
-		Worker: "w", Born: 7, Service: "s", Cpu: 4000, Memory: 1000, Accels: 8, Labels: []string{"a", "r1"}, Rack: "r1",
+		Worker: worker, Born: 7, Service: "s", Cpu: 4000, Memory: 1000, Accels: 8, Labels: []string{"a", "r1"}, Rack: "r1",
 		Clock: 1000, Listed: true, Runs: runs, Ends: ends,
 	}))
 }
@@ -327,3 +333,55 @@
 		require.Empty(t, rep.Leader, "two processes that pass a hint on to each other never forget it")
 	}
 }
+
+// The users count a job as lost that could run for 3 s and doesn't.
+func TestFailedTaskStartsAgainThoughOnlyItsWorkerHasRoom(t *testing.T) {
+	const idle = 3 * time.Second
+	s := startSingle(t)
+	caller := s.dial("jobentry", "e1")
+	wide := &jobs.Spec{Text: "x", Steps: []jobs.Step{{Count: 1, CPU: 3000, EstimateMs: 60000}}}
+	agents := map[string]*agent{"w1": s.attend("h1"), "w2": s.attend("h2")}
+	for w, a := range agents {
+		a.reportOf(w, nil)
+	}
+	place := func(id string) (worker string) {
+		require.Equal(t, string(jobs.Accepted), s.call(caller, jobs.CallSubmit, "/q/"+id, wide).Outcome)
+		require.Eventually(t, func() bool {
+			for w, a := range agents {
+				_ = a.st.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+				o := &wire.HostOrders{}
+				for a.st.Recv(o) == nil {
+					if len(o.Starts) > 0 {
+						worker = w
+					}
+				}
+			}
+			return worker != ""
+		}, patience, time.Millisecond)
+		return worker
+	}
+	full, failing := place(idA), place(idB)
+	require.NotEqual(t, full, failing)
+	running := func(id string) []*wire.RunState { return []*wire.RunState{{Task: id + ".0.0.0", Run: 1, Percent: 1}} }
+	began := time.Now()
+	agents[failing].reportOf(failing, nil, &wire.RunEnd{Number: 1, Task: idB + ".0.0.0", Run: 1, How: "failed"})
+	var g errgroup.Group
+	ctx, stop := context.WithCancel(t.Context())
+	g.Go(func() error {
+		return kern.Every(ctx, 300*time.Millisecond, func() {
+			agents[full].reportOf(full, running(idA))
+			agents[failing].reportOf(failing, nil)
+		})
+	})
+	_ = agents[failing].st.SetReadDeadline(time.Now().Add(patience))
+	for {
+		o := &wire.HostOrders{}
+		require.NoError(t, agents[failing].st.Recv(o))
+		if len(o.Starts) > 0 {
+			break
+		}
+	}
+	require.Less(t, time.Since(began), idle)
+	stop()
+	require.NoError(t, g.Wait())
+}
