A job with nothing running takes avoided workers before the users count it as lost

Cause: a worker on which a run failed was avoided for 4 s, one that failed twice for 6 s, and one on which the job itself failed for as long as other workers could have held the task when empty, which says nothing of when they are. Change: a need knows since when nothing of its job has run. After 1.8 s it takes any worker in reach that has room, while less than 0.6 of the service's room is in use; tasks that last do so however full the service is. On a busy fleet jobs keep avoiding such workers, which use up their attempts.

--- a/internal/allot/input.go
+++ b/internal/allot/input.go
@@ -57,7 +57,8 @@
 	Size    Room
 	Speed   float64 // learned, 1 is a sound worker of the usual kind
 	Doubt   float64 // standard deviation of the logarithm of Speed
-	Barred  bool    // draining, out of reach or under suspicion: takes no new tasks
+	Barred  bool    // draining or out of reach: takes no new tasks
+	Shunned bool    // has failed too much lately: takes only tasks that have waited for too long
 	Suspect bool    // a run has failed there lately, or its report is overdue: takes tasks only if there is nowhere else
 	// Leaves is when the worker ends at the earliest, with all that runs there;
 	// zero if it stays.
@@ -98,6 +99,7 @@
 	Indexes  []int // of the tasks that wait
 	Room     Room  // of each task
 	Gang     bool
+	Lasts    bool // its tasks run until the job is cancelled
 	Compact  bool // slower on more than one rack
 	Label    string
 	DataRack string // slower elsewhere
@@ -109,6 +111,7 @@
 	Work     time.Duration
 	Rest     time.Duration // of the steps after this one
 	Ready    time.Time     // since when it could have started
+	Idle     time.Time     // since when nothing of its job has run (tasks of the step, if it lasts), zero if something does
 	Deadline time.Time     // by which the job ought to be complete
 	Late     time.Time     // after which its completion is of no use
 	Order    uint64
--- a/internal/allot/plan.go
+++ b/internal/allot/plan.go
@@ -47,18 +47,26 @@
 const vacateMargin = 300 * time.Millisecond
 
 // spare lets a need avoid the workers on which it failed, and those on which
-// anything has failed lately, only as long as others could take it.
+// anything has failed lately, only as long as others could take it and its job
+// isn't idle for too long. Workers that have failed too much are avoided until then.
 func (p *planner) spare(n *Need) {
-	n.Avoid = maps.Clone(n.Avoid)
+	failed := n.Avoid
+	n.Avoid = map[jobs.Worker]bool{}
+	if p.desperate(n) {
+		return
+	}
+	shunned := map[jobs.Worker]bool{}
+	maps.Copy(n.Avoid, failed)
 	for i := range p.slots {
-		if w := p.slots[i].w; w.Suspect {
-			if n.Avoid == nil {
-				n.Avoid = map[jobs.Worker]bool{}
-			}
+		w := p.slots[i].w
+		if w.Shunned {
+			shunned[w.ID] = true
+		}
+		if w.Shunned || w.Suspect {
 			n.Avoid[w.ID] = true
 		}
 	}
-	if len(n.Avoid) == 0 {
+	if len(n.Avoid) == len(shunned) {
 		return
 	}
 	holds := 0
@@ -68,10 +76,46 @@
 		}
 	}
 	if holds < len(n.Indexes) {
-		n.Avoid = nil
+		n.Avoid = shunned
 	}
 }
 
+// desperate tells whether a need has to take whatever worker has room. On a busy
+// fleet a job waits anyway, and avoids workers that would use up its attempts.
+func (p *planner) desperate(n *Need) bool {
+	if n.Idle.IsZero() || p.in.Now.Sub(n.Idle) < maxIdle {
+		return false
+	}
+	return n.Lasts || p.inUse(n.Service) < quietShare
+}
+
+// inUse returns the share of a service's room that is taken, of the resource that
+// is the scarcest.
+func (p *planner) inUse(service string) float64 {
+	var size, free Room
+	for i := range p.slots {
+		if s := &p.slots[i]; s.w.Service == service {
+			size, free = size.Plus(s.w.Size), free.Plus(s.real)
+		}
+	}
+	most := 0.0
+	for _, r := range [][2]int64{{size.CPU, free.CPU}, {size.Memory, free.Memory}, {size.Accels, free.Accels}} {
+		if r[0] > 0 {
+			most = max(most, 1-float64(r[1])/float64(r[0]))
+		}
+	}
+	return most
+}
+
+// quietShare is the share of the room in use below which a task that could run has
+// to. The users say one half; the rest is for what ends meanwhile.
+const quietShare = 0.6
+
+// maxIdle is how long a job may have nothing running before it takes whatever
+// worker has room. The users allow 3 s; the end of its last run is known within
+// 0.4 s, and a start takes up to 0.5 s.
+const maxIdle = 1800 * time.Millisecond
+
 // honor keeps the room of claims that still hold, before anything is placed.
 func (p *planner) honor(needs []Need) {
 	for i := range needs {
--- a/internal/allot/plan_test.go
+++ b/internal/allot/plan_test.go
@@ -272,3 +272,35 @@
 	in.Needs[0].Sure = true
 	require.Len(t, allot.Make(in).Stops, 1)
 }
+
+func TestIdleJobTakesAvoidedWorkers(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		idle    time.Duration
+		busy    int // workers taken by others
+		lasts   bool
+		shunned bool
+		starts  bool
+	}{
+		{"avoids for a while", time.Second, 2, false, false, false},
+		{"then takes a suspect", 2 * time.Second, 2, false, false, true},
+		{"and one that has failed often", 2 * time.Second, 2, false, true, true},
+		{"keeps its attempts on a busy fleet", 2 * time.Second, 5, false, true, false},
+		{"but not if it has to run always", 2 * time.Second, 5, true, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			in := allot.Input{Now: noon, Remote: 3, Workers: fleet(6)}
+			for i := range c.busy {
+				busy(&in.Workers[i], "other", 8, 1, time.Minute)
+			}
+			n := gang("g", 1, 8)
+			n.Gang, n.Lasts, n.Idle = false, c.lasts, noon.Add(-c.idle)
+			n.Avoid = map[jobs.Worker]bool{}
+			for i := c.busy; i < 6; i++ {
+				in.Workers[i].Suspect, in.Workers[i].Shunned = true, c.shunned
+			}
+			in.Needs = []allot.Need{n}
+			require.Equal(t, c.starts, len(allot.Make(in).Starts) > 0)
+		})
+	}
+}
--- a/internal/jobctl/input.go
+++ b/internal/jobctl/input.go
@@ -83,8 +83,8 @@
 			ID: h.worker, Host: name, Service: h.rep.Service, Labels: h.rep.Labels, Rack: h.rep.Rack,
 			Size:  allot.Room{CPU: h.rep.Cpu, Memory: h.rep.Memory, Accels: h.rep.Accels},
 			Speed: l.learner.Speed(h.worker), Doubt: l.learner.Doubt(h.worker),
-			Barred: h.out == nil || h.rep.Draining || h.rep.Lost || now.Sub(h.heard) > quiet ||
-				l.learner.Barred(h.worker, now),
+			Barred:  h.out == nil || h.rep.Draining || h.rep.Lost || now.Sub(h.heard) > quiet,
+			Shunned: l.learner.Barred(h.worker, now),
 		}
 		w.Suspect = l.learner.Suspect(h.worker, now) || now.Sub(h.heard) > overdue
 		if h.rep.Draining && h.rep.Remainms > 0 {
@@ -151,6 +151,7 @@
 // needs returns the steps of a job that may start now.
 func (l *lead) needs(v jobs.View, j *jobs.Job, sure bool, wall int64) []allot.Need {
 	var list []allot.Need
+	idle := l.idleSince(j)
 	for k := range j.Spec.Occurrences() {
 		due := j.Spec.DueMs(k)
 		if due > wall {
@@ -161,12 +162,17 @@
 			if begun && !o.Ready(j.Spec, i) || !begun && len(j.Spec.Steps[i].After) > 0 {
 				continue
 			}
+			step := jobs.TaskID{Job: j.ID, Occur: k, Step: i}
 			n, ok := l.need(j, k, i, o)
 			if !ok {
+				delete(l.short, step)
 				continue
 			}
-			n.Sure = sure
-			n.Ready = l.readySince(jobs.TaskID{Job: j.ID, Occur: k, Step: i})
+			n.Sure, n.Idle = sure, idle
+			if n.Lasts {
+				n.Idle = l.stepIdleSince(step, len(n.Indexes))
+			}
+			n.Ready = l.readySince(step)
 			if j.Spec.Times == 0 && len(j.Spec.Steps[i].After) == 0 {
 				n.Ready = l.acceptedAt(j)
 			}
@@ -180,6 +186,36 @@
 	return list
 }
 
+// idleSince returns since when nothing of a job has run, zero if something does.
+func (l *lead) idleSince(j *jobs.Job) time.Time {
+	for _, o := range j.Occurs {
+		for i := range o.Steps {
+			if slices.ContainsFunc(o.Steps[i].Tasks, func(t jobs.Task) bool { return !t.On.Zero() }) {
+				delete(l.idle, j.ID)
+				return time.Time{}
+			}
+		}
+	}
+	at, ok := l.idle[j.ID]
+	if !ok {
+		at = l.now()
+		l.idle[j.ID] = at
+	}
+	return at
+}
+
+// stepIdleSince returns since when tasks of a step that lasts have waited. Each of
+// them has to run, whether others do or not.
+func (l *lead) stepIdleSince(step jobs.TaskID, waiting int) time.Time {
+	w, ok := l.short[step]
+	if !ok || waiting < w.tasks {
+		w.since = l.now()
+	}
+	w.tasks = waiting
+	l.short[step] = w
+	return w.since
+}
+
 // readySince returns when a step was first found ready to start.
 func (l *lead) readySince(step jobs.TaskID) time.Time {
 	at, ok := l.ready[step]
@@ -194,7 +230,7 @@
 func (l *lead) need(j *jobs.Job, k, i int, o *jobs.Occur) (allot.Need, bool) {
 	st := j.Spec.Steps[i]
 	n := allot.Need{
-		Job: j.ID, Queue: j.Queue, Team: j.Team, Service: j.Service, Occur: k, Step: i, Room: room(st), Gang: st.Gang,
+		Job: j.ID, Queue: j.Queue, Team: j.Team, Service: j.Service, Occur: k, Step: i, Room: room(st), Gang: st.Gang, Lasts: st.Lasts,
 		Compact: st.Compact, Label: st.Label, DataRack: st.DataRack, Spread: st.Spread, Priority: j.Priority,
 		Order: j.Order, Avoid: l.failedOn[j.ID], Used: map[jobs.Worker]int{},
 	}
--- a/internal/jobctl/lead.go
+++ b/internal/jobctl/lead.go
@@ -23,6 +23,12 @@
 
 var errTermOver = errors.New("another term has begun")
 
+// shortage is how many tasks of a step wait, and since when.
+type shortage struct {
+	tasks int
+	since time.Time
+}
+
 // runKey names a run.
 type runKey struct {
 	task string
@@ -65,6 +71,8 @@
 	leases   map[jobs.Worker]time.Time       // until when runs may be going on
 	born     map[string]time.Time            // acceptance of jobs, on the own clock
 	ready    map[jobs.TaskID]time.Time       // since when steps could have started
+	idle     map[string]time.Time            // since when nothing of a job has run
+	short    map[jobs.TaskID]shortage        // of steps that last
 	ended    map[string]time.Time            // when ended jobs were first seen
 	rulings  map[string]allot.Verdict        // last verdict logged, by job and step
 	members  time.Time                       // when the membership was last looked at
@@ -76,6 +84,7 @@
 		c: c, term: term, log: c.env.Log, began: c.env.Boot.Now(), woken: make(chan struct{}, 1),
 		hosts: map[string]*host{}, learner: allot.NewLearner(), runs: map[runKey]begun{},
 		stopping: map[runKey]string{}, leases: map[jobs.Worker]time.Time{}, born: map[string]time.Time{}, ready: map[jobs.TaskID]time.Time{},
+		idle: map[string]time.Time{}, short: map[jobs.TaskID]shortage{},
 		ended: map[string]time.Time{}, rulings: map[string]allot.Verdict{},
 		failedOn: map[string]map[jobs.Worker]bool{},
 	}
--- a/internal/jobctl/orders.go
+++ b/internal/jobctl/orders.go
@@ -186,10 +186,12 @@
 	for _, id := range drop {
 		delete(l.ended, id)
 		delete(l.born, id)
+		delete(l.idle, id)
 		delete(l.failedOn, id)
 		delete(l.rulings, id)
 		l.learner.ForgetJob(id)
 		maps.DeleteFunc(l.ready, func(step jobs.TaskID, _ time.Time) bool { return step.Job == id })
+		maps.DeleteFunc(l.short, func(step jobs.TaskID, _ shortage) bool { return step.Job == id })
 	}
 	return drop
 }
