e2e keeps whole logs of failed tests; claims that fail log the control processes in reach

Only the last 12 lines of each process were kept, and the entry logged neither the request's deadline nor which control processes it had a session to, so the logs can't tell who was out at once.

-logs DIR keeps the whole log of each process of a failed test. The test logs its longest call. The entry's warning carries deadline and sessions.

--- a/internal/e2e/proc_test.go
+++ b/internal/e2e/proc_test.go
@@ -25,6 +25,7 @@
 var (
 	binDir  = flag.String("bin", "", "folder of built programs; empty builds them")
 	verbose = flag.Bool("verbose", false, "print each step of the demo")
+	logDir  = flag.String("logs", "", "folder that gets the processes' whole logs when a test fails")
 )
 
 var buildOnce = sync.OnceValues(func() (string, error) {
@@ -94,11 +95,24 @@
 		}
 		if t.Failed() {
 			t.Logf("== %s\n%s", name, tail(p.log.String(), 12))
+			p.keepLog()
 		}
 	})
 	return p
 }
 
+// keepLog writes the whole log to the folder of the flag logs, if it is given.
+// The process id keeps the runs of one test apart.
+func (p *proc) keepLog() {
+	if *logDir == "" {
+		return
+	}
+	file := fmt.Sprintf("%s-%d-%s.log", strings.ReplaceAll(p.t.Name(), "/", "-"), p.cmd.Process.Pid, p.name)
+	if err := os.WriteFile(filepath.Join(*logDir, file), []byte(p.log.String()), 0o600); err != nil {
+		p.t.Logf("%s: log not kept: %v", p.name, err)
+	}
+}
+
 func tail(s string, lines int) string {
 	all := strings.Split(strings.TrimRight(s, "\n"), "\n")
 	return strings.Join(all[max(0, len(all)-lines):], "\n")
--- a/internal/e2e/request_test.go
+++ b/internal/e2e/request_test.go
@@ -92,6 +92,7 @@
 	}
 	replies := l.end(t)
 	require.NotEmpty(t, replies)
+	logLongest(t, replies)
 	for id, r := range replies {
 		requireAnswer(t, ask{id: id, body: id}, r)
 	}
@@ -115,6 +116,22 @@
 	}
 }
 
+// logLongest logs which call took longest, and how many were refused or lost.
+func logLongest(t *testing.T, replies map[string]reply) {
+	t.Helper()
+	var longest string
+	bad := 0
+	for id, r := range replies {
+		if longest == "" || r.took > replies[longest].took {
+			longest = id
+		}
+		if r.err != nil || r.outcome != client.OutcomeAnswer {
+			bad++
+		}
+	}
+	t.Logf("%d calls, %d without an answer; %s took longest, %s", len(replies), bad, longest, replies[longest].took)
+}
+
 // runs returns how often a request has begun on any backend server.
 func (c *cluster) runs(id string) int {
 	n := 0
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -103,10 +103,22 @@
 	if errors.As(err, &re) && re.Code == wire.CodeRefused {
 		return badField(client.HeaderKey, re.Text)
 	}
-	e.env.Log.Warn("claim could not be made", zap.String("request", o.ID), zap.String("team", o.Team), zap.Error(err))
+	e.env.Log.Warn("claim could not be made", zap.String("request", o.ID), zap.String("team", o.Team),
+		zap.Time("deadline", o.deadline), zap.Strings("reached", e.reached()), zap.Error(err))
 	return &fault{status: http.StatusServiceUnavailable, code: client.CodeUnavailable, field: "request", text: "no quorum of control processes took the claim"}
 }
 
+// reached returns the addresses of the control processes that there is a session to.
+func (e *Entry) reached() []string {
+	var addrs []string
+	for _, l := range e.links {
+		if _, err := l.Session(); err == nil {
+			addrs = append(addrs, l.Addr())
+		}
+	}
+	return addrs
+}
+
 // settleNotRun frees the claim of a request that was never handed out, so that
 // a resend may run.
 func (e *Entry) settleNotRun(o *callRequest, cause error) {
