A claim is tried until the request's deadline

Callers of non-idempotent requests got 503 "no quorum of control processes took the claim" while control processes restarted in turn, seven seconds before their deadline.

Cause: the entry bounded a claim by 3 s whatever the request's deadline. Trace of a failed TestRollingRestart (-logs, before any change): the leader ctl1 stops at 32.86 without handing over, ctl3 leads from 33.67; ctl2 stops at 34.31, when ctl1 has no listener yet (34.41). ctl1 has a session to ctl3 from 34.46 on, but ctl3's link to ctl1 pauses after failed dials until 35.17, so ctl3 loses its quorum at 34.91. The next leader stands at 36.50. The claim that began at 31.89 was given up at 34.89; its deadline was 41.89. The entry had a session to ctl3 alone. The logs don't tell why little was committed from 31.9 to 32.86 and from 33.7 to 34.3, when there was a leader.

The claim is now bound by the request's deadline and its caller only. A request that isn't claimed has not run, so the refusal stays true.

--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -17,7 +17,6 @@
 )
 
 const (
-	claimTimeout  = 3 * time.Second
 	settleTimeout = 5 * time.Second
 	claimPoll     = 150 * time.Millisecond
 )
@@ -73,12 +72,12 @@
 	return nil
 }
 
+// claim asks for the right to run the request, until ctx is done. It has no
+// bound of its own: a new leader may stand at any time before the deadline.
 func (e *Entry) claim(ctx context.Context, o *callRequest) (*wire.ClaimReply, error) {
 	if o.hash == nil {
 		o.hash = bodyHash(o)
 	}
-	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
-	defer cancel()
 	rep := &wire.ClaimReply{}
 	err := e.poller.Call(ctx, wire.MethodClaim, &wire.ClaimRequest{
 		Team: o.Team, Service: o.Service, Key: o.Key, Hash: o.hash, Entry: e.env.Node.Name, Attempt: o.attempt,
