A control process that stops hands its lead over

Each planned stop of the leader left callers of non-idempotent requests, agents' outcomes and operators without a quorum until the others noticed the silence.

Cause: contrl's Drain did nothing, though the log can resign (as jobctl does).

Drain resigns and serves on until another one leads, at most 2 s: so the messages of the resignation leave before the process ends, and calls are passed on to the new leader.

--- a/internal/contrl/contrl.go
+++ b/internal/contrl/contrl.go
@@ -35,6 +35,10 @@
 	readTimeout    = 10 * time.Second
 	writeTimeout   = 30 * time.Second
 	maxHeaderBytes = 16 << 10
+	// handoverTimeout bounds the wait for a new leader before a planned stop. A
+	// replica that resigned stands again after three election times, 1.8 s.
+	handoverTimeout = 2 * time.Second
+	handoverCheck   = 10 * time.Millisecond
 )
 
 // Control is the role at work.
@@ -183,9 +187,22 @@
 	return onLeader(c, wire.MethodAPI, c.serveAPI)(ctx, wire.Peer{}, req)
 }
 
-// Drain implements kern.Runner. What waits for commit is short and ends by
-// itself; the other replicas go on.
-func (c *Control) Drain(context.Context) error { return nil }
+// Drain implements kern.Runner. A leader lets the others elect a new one and
+// serves on until it stands, so that the election's messages still leave and
+// calls are passed on. What waits for commit is short and ends by itself.
+func (c *Control) Drain(ctx context.Context) error {
+	if c.node.Status().Role != replog.Leader {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	c.node.Resign()
+	for c.node.Status().Leader == "" && kern.Sleep(ctx, handoverCheck) {
+		continue
+	}
+	c.env.Log.Info("lead handed over", zap.String("leader", c.node.Status().Leader))
+	return nil
+}
 
 // dump is the role's whole state.
 type dump struct {
