Control processes dial a peer at once when it has connected

After a restart of one control process, a leader that needed it for a quorum lost its lead although the process was connected to it.

Cause: log messages go over the sender's own link, which pauses up to 3 s after failed dials. Trace of a failed TestRollingRestart: ctl1 reaches ctl3 at 34.46, ctl3 reaches ctl1 at 35.17, after it stepped down at 34.91; the next leader stands at 36.50.

A session that a control process opens wakes the own link to it. wire.Link gets Wake, which ends a pause and does nothing else.

go test -race -count=1 -run TestPeerThat ./internal/contrl without the call of Wake: FAIL, expected 10 dials, actual 9; with it: ok

--- a/internal/contrl/contrl.go
+++ b/internal/contrl/contrl.go
@@ -98,10 +98,19 @@
 		_ = st.Close()
 		return nil, errors.Wrap(err, "control: replicated log")
 	}
-	c.server = wire.NewServer(id, mux, env.Log, nil)
+	c.server = wire.NewServer(id, mux, env.Log, c.met)
 	return c, c.listen()
 }
 
+// met dials a control process that has just connected, instead of letting the
+// pause after the last failed dial run out: it may be needed for a quorum.
+func (c *Control) met(s *wire.Session) (release func(), err error) {
+	if l, ok := c.links[s.Peer().Name]; ok && s.Peer().Role == RoleName {
+		l.Wake()
+	}
+	return func() {}, nil
+}
+
 func (c *Control) logOptions() replog.Options {
 	opt := replog.Options{Name: c.name, Cluster: c.env.Node.Cluster, Seed: seedOf(c.name)}
 	for _, name := range c.cfg.Voters {
--- a/internal/wire/dial.go
+++ b/internal/wire/dial.go
@@ -11,8 +11,6 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
-
-	"github.com/knapweedlug/knapweedlug/internal/kern"
 )
 
 const (
@@ -34,12 +32,14 @@
 	sess *Session
 	err  error
 	wait chan struct{} // closed when sess changes
+
+	wake chan struct{} // ends the pause before the next dial
 }
 
 // NewLink returns a link to addr that serves mux to the peer. up, which may be
 // nil, runs for each new session and must return when ctx is done.
 func NewLink(addr string, id Identity, mux *Mux, log *zap.Logger, up func(ctx context.Context, s *Session)) *Link {
-	return &Link{addr: addr, id: id, mux: mux, log: log, up: up, wait: make(chan struct{})}
+	return &Link{addr: addr, id: id, mux: mux, log: log, up: up, wait: make(chan struct{}), wake: make(chan struct{})}
 }
 
 // Addr returns the address that the link dials.
@@ -59,12 +59,37 @@
 		if time.Since(began) > maxBackoff {
 			backoff = minBackoff
 		}
-		kern.Sleep(ctx, backoff/2+rand.N(backoff))
+		if l.pause(ctx, backoff/2+rand.N(backoff)) {
+			backoff = minBackoff
+			continue
+		}
 		backoff = min(2*backoff, maxBackoff)
 	}
 	return nil
 }
 
+// Wake dials at once if the link pauses between two dials. It is for an owner
+// that has just heard from the peer in another way.
+func (l *Link) Wake() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// pause waits for d, and reports whether Wake ended it.
+func (l *Link) pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-l.wake:
+		return true
+	}
+	return false
+}
+
 func (l *Link) once(ctx context.Context) error {
 	d := net.Dialer{Timeout: dialTimeout}
 	c, err := d.DialContext(ctx, "tcp", l.addr)
