Claims of refused requests are freed

A caller was told "not run" when no control process answered its claim, but the claim may have been committed with its answer lost. Nobody freed it: a resend with the same key was told "running" until the claim was given up, 30 s after the service's limit, and "unknown" from then on, for as long as answers are kept. The same held when a refused request's claim couldn't be freed within 5 s.

The entry now keeps up to 4096 such claims and frees them one at a time as soon as a control process answers: it asks for the claim again as the same attempt, and settles it as not run if it is granted. It logs both. Claims that still wait when the entry stops are lost as before.

--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -75,14 +75,18 @@
 // claim asks for the right to run the request, until ctx is done. It has no
 // bound of its own: a new leader may stand at any time before the deadline.
 func (e *Entry) claim(ctx context.Context, o *callRequest) (*wire.ClaimReply, error) {
+	rep := &wire.ClaimReply{}
+	err := e.poller.Call(ctx, wire.MethodClaim, e.claimRequest(o), rep)
+	return rep, err
+}
+
+func (e *Entry) claimRequest(o *callRequest) *wire.ClaimRequest {
 	if o.hash == nil {
 		o.hash = bodyHash(o)
 	}
-	rep := &wire.ClaimReply{}
-	err := e.poller.Call(ctx, wire.MethodClaim, &wire.ClaimRequest{
+	return &wire.ClaimRequest{
 		Team: o.Team, Service: o.Service, Key: o.Key, Hash: o.hash, Entry: e.env.Node.Name, Attempt: o.attempt,
-	}, rep)
-	return rep, err
+	}
 }
 
 // bodyHash covers all that makes a resend the same request.
@@ -102,6 +106,7 @@
 	if errors.As(err, &re) && re.Code == wire.CodeRefused {
 		return badField(client.HeaderKey, re.Text)
 	}
+	e.orphan(o)
 	e.env.Log.Warn("claim could not be made", zap.String("request", o.ID), zap.String("team", o.Team),
 		zap.Time("deadline", o.deadline), zap.Strings("reached", e.reached()), zap.Error(err))
 	return &fault{status: http.StatusServiceUnavailable, code: client.CodeUnavailable, field: "request", text: "no quorum of control processes took the claim"}
@@ -130,7 +135,8 @@
 		Team: o.Team, Service: o.Service, Key: o.Key, Epoch: o.claim, Outcome: string(client.OutcomeNotRun),
 	}, &wire.SettleReply{})
 	if err != nil {
-		e.env.Log.Error("claim of a request that did not run could not be freed", zap.String("request", o.ID),
+		e.orphan(o)
+		e.env.Log.Warn("claim of a request that did not run is not freed yet", zap.String("request", o.ID),
 			zap.String("team", o.Team), zap.NamedError("refusal", cause), zap.Error(err))
 	}
 }
--- a/internal/entry/claim_test.go
+++ b/internal/entry/claim_test.go
@@ -2,31 +2,56 @@
 
 import (
 	"context"
+	"net/http/httptest"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/knapweedlug/knapweedlug/internal/admit"
 	"github.com/knapweedlug/knapweedlug/internal/kern"
 	"github.com/knapweedlug/knapweedlug/internal/poll"
 	"github.com/knapweedlug/knapweedlug/internal/wire"
+	"github.com/knapweedlug/knapweedlug/pkg/client"
 )
 
 // testControl is a link to a control process that knows a leader from ready on.
-type testControl struct{ ready time.Time }
+// What is sent before is committed, but its answer is lost.
+type testControl struct {
+	ready time.Time
+
+	mu      sync.Mutex
+	attempt string // that holds the only claim; empty once it is free
+}
 
 func (c *testControl) Addr() string { return "control" }
 
-func (c *testControl) Call(_ context.Context, _ string, _, resp proto.Message) error {
-	if time.Now().Before(c.ready) {
-		return &wire.RemoteError{Code: wire.CodeNotLeader, Text: "no leader is known here"}
+func (c *testControl) Call(_ context.Context, _ string, req, resp proto.Message) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch req := req.(type) {
+	case *wire.ClaimRequest:
+		rep := resp.(*wire.ClaimReply)
+		rep.State = wire.ClaimRunning
+		if c.attempt == "" {
+			c.attempt = req.Attempt
+		}
+		if c.attempt == req.Attempt {
+			rep.State, rep.Epoch = wire.ClaimGranted, 7
+		}
+	case *wire.SettleRequest:
+		if req.Epoch == 7 && req.Outcome == string(client.OutcomeNotRun) {
+			c.attempt = ""
+		}
 	}
-	if rep, ok := resp.(*wire.ClaimReply); ok {
-		rep.State, rep.Epoch = wire.ClaimGranted, 7
+	if time.Now().Before(c.ready) {
+		return &wire.RemoteError{Code: wire.CodeNotLeader, Text: "leadership was lost"}
 	}
 	return nil
 }
@@ -38,7 +63,7 @@
 
 func newClaimEntry(c *testControl) *Entry {
 	env := &kern.Env{Node: kern.Node{Name: "ent1"}, Log: zap.NewNop(), Clock: bubbleClock{}}
-	e := &Entry{env: env}
+	e := &Entry{env: env, meters: newMeters(tally.NoopScope), orphans: newOrphans()}
 	e.poller = poll.New("ent1", []poll.Link{c, c, c}, e, env.Clock, env.Log)
 	return e
 }
@@ -63,3 +88,29 @@
 		require.Equal(t, wire.ClaimGranted, rep.State)
 	})
 }
+
+// TestRefusedRequestLeavesNoClaim guards against a resend that never runs
+// because the answer to the first attempt's claim was lost.
+func TestRefusedRequestLeavesNoClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newClaimEntry(&testControl{ready: time.Now().Add(5 * time.Second)})
+		run, stop := context.WithCancel(t.Context())
+		var g errgroup.Group
+		g.Go(func() error { return e.watchClaims(run) })
+		first := newClaimed(2 * time.Second)
+		ctx, cancel := context.WithDeadline(t.Context(), first.deadline)
+		defer cancel()
+		w := httptest.NewRecorder()
+		e.serveClaimed(ctx, w, first)
+		require.Equal(t, string(client.OutcomeNotRun), w.Header().Get(client.HeaderOutcome))
+		time.Sleep(10 * time.Second) // of the bubble's clock
+
+		again := newClaimed(2 * time.Second)
+		again.attempt = "b"
+		rep, err := e.claim(t.Context(), again)
+		require.NoError(t, err)
+		require.Equal(t, wire.ClaimGranted, rep.State)
+		stop()
+		require.NoError(t, g.Wait())
+	})
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -58,6 +58,7 @@
 	draining atomic.Bool // requests are refused
 	running  atomic.Int64
 	buffer   *semaphore.Weighted // bytes of bodies
+	orphans  orphans
 
 	mu       sync.Mutex
 	sessions map[string]*wire.Session
@@ -79,6 +80,7 @@
 		env: env, cfg: cfg, ln: limitConns(ln, cfg.Conns), peers: peers,
 		conf:     conf.NewHolder(env.Node.Cluster),
 		buffer:   semaphore.NewWeighted(cfg.Buffer),
+		orphans:  newOrphans(),
 		rec:      newRecorder(cfg.Record, env),
 		sessions: map[string]*wire.Session{},
 		keys:     newCallers(conf.Config{}),
@@ -192,6 +194,7 @@
 	g.Go(func() error { return e.poller.Run(ctx) })
 	g.Go(func() error { return e.server.Serve(ctx, e.peers) })
 	g.Go(func() error { return e.watchDeadlines(ctx) })
+	g.Go(func() error { return e.watchClaims(ctx) })
 	g.Go(func() error { return e.watchMeters(ctx) })
 	g.Go(func() error {
 		stop := context.AfterFunc(ctx, func() { _ = e.http.Close() })
