A control process stops only when the others in reach are a quorum

A rolling restart that goes on as soon as a leader answers took two of three control processes away at once: the one that was restarted had no listener yet when the next one stopped. Callers got 503 "stale" once no quorum had vouched for the configuration for 4 s.

Trace of a failed TestRollingRestart, after the lead is handed over and peers are dialled at once: ctl1 is started again at 51.75, ctl2 stopped at 51.7, ctl3 led alone and steps down; ctl1 is unvouched, since ctl2 is out; the next leader stands at 53.89, after 4 s or more without a commit.

Drain waits, 10 s at most, until the own links lead to a quorum of the other voters. With fewer than three voters none can be spared, and it doesn't wait.

--- a/internal/contrl/contrl.go
+++ b/internal/contrl/contrl.go
@@ -38,7 +38,12 @@
 	// handoverTimeout bounds the wait for a new leader before a planned stop. A
 	// replica that resigned stands again after three election times, 1.8 s.
 	handoverTimeout = 2 * time.Second
-	handoverCheck   = 10 * time.Millisecond
+	// othersTimeout bounds the wait for a quorum of the others before a planned
+	// stop. It leaves half of the usual time to drain, 20 s, to what else drains.
+	othersTimeout = 10 * time.Second
+	drainCheck    = 10 * time.Millisecond
+	// minSpare is the least number of voters of which one can be spared.
+	minSpare = 3
 )
 
 // Control is the role at work.
@@ -196,23 +201,51 @@
 	return onLeader(c, wire.MethodAPI, c.serveAPI)(ctx, wire.Peer{}, req)
 }
 
-// Drain implements kern.Runner. A leader lets the others elect a new one and
-// serves on until it stands, so that the election's messages still leave and
-// calls are passed on. What waits for commit is short and ends by itself.
+// Drain implements kern.Runner. It waits until the others can go on without
+// this process: another one that was just restarted may not be back yet. Then a
+// leader lets them elect a new one and serves on until it stands, so that the
+// election's messages still leave and calls are passed on. What waits for
+// commit is short and ends by itself.
 func (c *Control) Drain(ctx context.Context) error {
+	c.awaitOthers(ctx)
 	if c.node.Status().Role != replog.Leader {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
 	c.node.Resign()
-	for c.node.Status().Leader == "" && kern.Sleep(ctx, handoverCheck) {
+	for c.node.Status().Leader == "" && kern.Sleep(ctx, drainCheck) {
 		continue
 	}
 	c.env.Log.Info("lead handed over", zap.String("leader", c.node.Status().Leader))
 	return nil
 }
 
+// awaitOthers returns once the other voters in reach are a quorum, or after othersTimeout.
+func (c *Control) awaitOthers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, othersTimeout)
+	defer cancel()
+	for !c.othersInReach() {
+		if !kern.Sleep(ctx, drainCheck) {
+			c.env.Log.Warn("stopping although the other control processes in reach are no quorum")
+			return
+		}
+	}
+}
+
+func (c *Control) othersInReach() bool {
+	st := c.node.Status()
+	n := 0
+	for _, v := range st.Voters {
+		if l, ok := c.links[v.Name]; ok {
+			if _, err := l.Session(); err == nil {
+				n++
+			}
+		}
+	}
+	return n >= st.Quorum() || len(st.Voters) < minSpare
+}
+
 // dump is the role's whole state.
 type dump struct {
 	Log     replog.Status `json:"log"`
--- a/internal/contrl/drain_test.go
+++ b/internal/contrl/drain_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -29,40 +30,55 @@
 	return ln.Addr().String()
 }
 
-// startControls runs control processes that form one cluster, until the test ends.
-func startControls(t *testing.T, names ...string) []*Control {
+// group is control processes that form one cluster.
+type group struct {
+	t     *testing.T
+	names []string
+	peers map[string]string
+	data  map[string]string
+	all   map[string]*Control
+	stops map[string]func()
+}
+
+// startControls runs control processes until the test ends.
+func startControls(t *testing.T, names ...string) *group {
 	t.Helper()
-	peers := map[string]string{}
+	g := &group{t: t, names: names, peers: map[string]string{}, data: map[string]string{}, all: map[string]*Control{}, stops: map[string]func(){}}
+	for _, name := range names {
+		g.peers[name], g.data[name] = freeAddr(t), t.TempDir()
+	}
 	for _, name := range names {
-		peers[name] = freeAddr(t)
+		g.start(name)
+	}
+	return g
+}
+
+func (g *group) start(name string) {
+	g.t.Helper()
+	env := &kern.Env{
+		Node: kern.Node{Cluster: "test", Name: name, Domain: "d", Region: "r"},
+		Log:  zap.NewNop(), Metrics: tally.NoopScope, Clock: wall{}, Boot: kern.BootClock{},
+		Keys: kern.Keys{Self: kern.DeriveKey(nil, name), Role: map[string][]byte{RoleName: nil}},
 	}
+	c, err := New(env, &Settings{Listen: g.peers[name], Data: g.data[name], Peers: g.peers, Voters: g.names})
+	require.NoError(g.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	var g errgroup.Group
-	t.Cleanup(func() {
+	var run errgroup.Group
+	run.Go(func() error { return c.Run(ctx) })
+	stop := sync.OnceFunc(func() {
 		cancel()
-		require.NoError(t, g.Wait())
+		require.NoError(g.t, run.Wait())
 	})
-	var all []*Control
-	for _, name := range names {
-		env := &kern.Env{
-			Node: kern.Node{Cluster: "test", Name: name, Domain: "d", Region: "r"},
-			Log:  zap.NewNop(), Metrics: tally.NoopScope, Clock: wall{}, Boot: kern.BootClock{},
-			Keys: kern.Keys{Self: kern.DeriveKey(nil, name), Role: map[string][]byte{RoleName: nil}},
-		}
-		c, err := New(env, &Settings{Listen: peers[name], Data: t.TempDir(), Peers: peers, Voters: names})
-		require.NoError(t, err)
-		g.Go(func() error { return c.Run(ctx) })
-		all = append(all, c)
-	}
-	return all
+	g.all[name], g.stops[name] = c, stop
+	g.t.Cleanup(stop)
 }
 
 // awaitLead returns the process that leads.
-func awaitLead(t *testing.T, all []*Control) *Control {
-	t.Helper()
+func (g *group) awaitLead() *Control {
+	g.t.Helper()
 	var found *Control
-	require.Eventually(t, func() bool {
-		for _, c := range all {
+	require.Eventually(g.t, func() bool {
+		for _, c := range g.all {
 			if c.leading() != nil && c.node.Status().Role == replog.Leader {
 				found = c
 			}
@@ -75,8 +91,7 @@
 // TestDrainHandsTheLeadOver guards against a planned stop that leaves the
 // others without a leader until they notice the silence.
 func TestDrainHandsTheLeadOver(t *testing.T) {
-	all := startControls(t, "c1", "c2", "c3")
-	old := awaitLead(t, all)
+	old := startControls(t, "c1", "c2", "c3").awaitLead()
 	term := old.node.Status().Term
 	began := time.Now()
 	require.NoError(t, old.Drain(t.Context()))
@@ -86,3 +101,24 @@
 	require.Greater(t, st.Term, term)
 	require.NotEmpty(t, st.Leader, "drained before another one leads")
 }
+
+// TestDrainWaitsForTheRestartedOne guards against a rolling restart that takes
+// two of three control processes away at once.
+func TestDrainWaitsForTheRestartedOne(t *testing.T) {
+	g := startControls(t, "c1", "c2", "c3")
+	out := g.awaitLead().name
+	c := g.all["c1"]
+	if out == "c1" {
+		c = g.all["c2"]
+	}
+	require.Eventually(t, c.othersInReach, patience, 10*time.Millisecond)
+	g.stops[out]()
+	require.Eventually(t, func() bool { return !c.othersInReach() }, patience, 10*time.Millisecond)
+	short, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	require.NoError(t, c.Drain(short))
+	require.ErrorIs(t, short.Err(), context.DeadlineExceeded, "drained while another one was out")
+	g.start(out)
+	require.NoError(t, c.Drain(t.Context()))
+	require.True(t, c.othersInReach())
+}
