Agents go on recording outcomes after a gap between leaders

An agent gave up recording the outcome of a claimed request after 3 s without a leader and passed the answer on. A resend with the same key was told "running", 30 s after the service's limit "unknown", although the answer was known.

Seen in each trace of a failed TestRollingRestart: "outcome of a claimed request could not be recorded", "no leader" for just over 3 s.

The answer is still passed on after 3 s, so that its caller doesn't wait. Up to 64 outcomes of at most 64 KiB stay and are recorded one at a time once a control process answers. The control processes keep an answer that comes late. What waits when the agent stops is lost as before.

go test -race -count=1 -run TestOutcomeIsRecorded ./internal/agent without the queue: FAIL, "not recorded"; with it: ok

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -59,6 +59,7 @@
 	ln        net.Listener
 	streams   atomic.Uint64
 	group     errgroup.Group
+	late      chan late
 
 	mu       sync.Mutex
 	offer    serverState // last announced to entries
@@ -85,6 +86,7 @@
 		ln:        ln,
 		meters:    newMeters(env.Metrics),
 		offer:     serverNone,
+		late:      make(chan late, maxLate),
 	}
 	id := wire.NewIdentity(env.Node, RoleName, env.Keys, uuid.NewString())
 	mux := wire.NewMux(env.Log)
@@ -129,6 +131,7 @@
 	}
 	g.Go(func() error { return a.poller.Run(ctx) })
 	g.Go(func() error { return a.watchHealth(ctx) })
+	g.Go(func() error { return a.watchLate(ctx) })
 	g.Go(func() error { return a.tellShares(ctx) })
 	if a.cfg.Worker != "" {
 		g.Go(func() error { return a.tasks.run(ctx) })
