--- a/internal/allot/play/table_test.go
+++ b/internal/allot/play/table_test.go
@@ -1,6 +1,7 @@
 package play_test
 
 import (
+	"flag"
 	"fmt"
 	"runtime"
 	"testing"
@@ -50,10 +51,12 @@
 		s.net/n, s.share/n, s.render/n, s.confirm/n, s.batch/n, s.wasted/n, float64(s.stops)/n)
 }
 
+var table = flag.Bool("table", false, "print the shares of all loads and baselines")
+
 // TestTable prints the decisions as they are beside each load and the baselines,
-// with -v.
+// with -v -table. It checks nothing.
 func TestTable(t *testing.T) {
-	if !testing.Verbose() {
+	if !*table {
 		return
 	}
 	for _, load := range []float64{0.7, 1, 1.6, 2.2} {
