A control process that can't keep a quorum doesn't delay its stop

When a whole deployment is stopped, the last control process waited 10 s for a quorum that its staying could not keep either. It now waits only if the voters in reach are a quorum with it and none without it.

go test -race -count=5 ./internal/contrl: ok; without the wait TestDrainWaitsForTheRestartedOne fails 2 of 2

--- a/internal/contrl/contrl.go
+++ b/internal/contrl/contrl.go
@@ -221,11 +221,11 @@
 	return nil
 }
 
-// awaitOthers returns once the other voters in reach are a quorum, or after othersTimeout.
+// awaitOthers returns once this process isn't needed for a quorum, or after othersTimeout.
 func (c *Control) awaitOthers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, othersTimeout)
 	defer cancel()
-	for !c.othersInReach() {
+	for c.needed() {
 		if !kern.Sleep(ctx, drainCheck) {
 			c.env.Log.Warn("stopping although the other control processes in reach are no quorum")
 			return
@@ -233,17 +233,19 @@
 	}
 }
 
-func (c *Control) othersInReach() bool {
+// needed reports whether the voters in reach are a quorum with this process and
+// none without it.
+func (c *Control) needed() bool {
 	st := c.node.Status()
-	n := 0
+	others := 0
 	for _, v := range st.Voters {
 		if l, ok := c.links[v.Name]; ok {
 			if _, err := l.Session(); err == nil {
-				n++
+				others++
 			}
 		}
 	}
-	return n >= st.Quorum() || len(st.Voters) < minSpare
+	return len(st.Voters) >= minSpare && others == st.Quorum()-1
 }
 
 // dump is the role's whole state.
