--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -17,7 +17,6 @@
 )
 
 const (
-	claimTimeout  = 3 * time.Second
 	settleTimeout = 5 * time.Second
 	claimPoll     = 150 * time.Millisecond
 )
@@ -73,17 +72,21 @@
 	return nil
 }
 
+// claim asks for the right to run the request, until ctx is done. It has no
+// bound of its own: a new leader may stand at any time before the deadline.
 func (e *Entry) claim(ctx context.Context, o *callRequest) (*wire.ClaimReply, error) {
+	rep := &wire.ClaimReply{}
+	err := e.poller.Call(ctx, wire.MethodClaim, e.claimRequest(o), rep)
+	return rep, err
+}
+
+func (e *Entry) claimRequest(o *callRequest) *wire.ClaimRequest {
 	if o.hash == nil {
 		o.hash = bodyHash(o)
 	}
-	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
-	defer cancel()
-	rep := &wire.ClaimReply{}
-	err := e.poller.Call(ctx, wire.MethodClaim, &wire.ClaimRequest{
+	return &wire.ClaimRequest{
 		Team: o.Team, Service: o.Service, Key: o.Key, Hash: o.hash, Entry: e.env.Node.Name, Attempt: o.attempt,
-	}, rep)
-	return rep, err
+	}
 }
 
 // bodyHash covers all that makes a resend the same request.
@@ -103,10 +106,23 @@
 	if errors.As(err, &re) && re.Code == wire.CodeRefused {
 		return badField(client.HeaderKey, re.Text)
 	}
-	e.env.Log.Warn("claim could not be made", zap.String("request", o.ID), zap.String("team", o.Team), zap.Error(err))
+	e.orphan(o)
+	e.env.Log.Warn("claim could not be made", zap.String("request", o.ID), zap.String("team", o.Team),
+		zap.Time("deadline", o.deadline), zap.Strings("reached", e.reached()), zap.Error(err))
 	return &fault{status: http.StatusServiceUnavailable, code: client.CodeUnavailable, field: "request", text: "no quorum of control processes took the claim"}
 }
 
+// reached returns the addresses of the control processes that there is a session to.
+func (e *Entry) reached() []string {
+	var addrs []string
+	for _, l := range e.links {
+		if _, err := l.Session(); err == nil {
+			addrs = append(addrs, l.Addr())
+		}
+	}
+	return addrs
+}
+
 // settleNotRun frees the claim of a request that was never handed out, so that
 // a resend may run.
 func (e *Entry) settleNotRun(o *callRequest, cause error) {
@@ -119,7 +135,8 @@
 		Team: o.Team, Service: o.Service, Key: o.Key, Epoch: o.claim, Outcome: string(client.OutcomeNotRun),
 	}, &wire.SettleReply{})
 	if err != nil {
-		e.env.Log.Error("claim of a request that did not run could not be freed", zap.String("request", o.ID),
+		e.orphan(o)
+		e.env.Log.Warn("claim of a request that did not run is not freed yet", zap.String("request", o.ID),
 			zap.String("team", o.Team), zap.NamedError("refusal", cause), zap.Error(err))
 	}
 }
