Objectives of wide steps count in rounds

Cause: deadlines counted the length of one task, whatever the number of tasks. Change: a step's length counts in rounds of a quarter of its service's room, in the deadlines, in what is still to come after a task, and in the play. TestWideJobIsNotTakenForLateBeforeItsObjective: failed, passes.

--- a/internal/allot/input.go
+++ b/internal/allot/input.go
@@ -107,7 +107,7 @@
 	Priority int
 	Sure     bool // within its team's guarantee
 	Work     time.Duration
-	Rest     time.Duration // of the steps after this one
+	Rest     time.Duration // of the tasks and steps after this one
 	Ready    time.Time     // since when it could have started
 	Deadline time.Time     // by which the job ought to be complete
 	Late     time.Time     // after which its completion is of no use
--- a/internal/jobctl/input.go
+++ b/internal/jobctl/input.go
@@ -19,6 +19,7 @@
 	defer l.mu.Unlock()
 	in := allot.Input{Now: l.now(), Remote: l.c.cfg.Remote, Patient: l.c.cfg.patient(), Claims: l.claims}
 	wall := l.c.env.Clock.Now().UnixMilli()
+	l.rooms = l.allRoom()
 	l.c.state.Read(func(v jobs.View) {
 		sure := l.sure(v)
 		in.Workers = l.workers(v, sure, in.Now, wall)
@@ -31,6 +32,19 @@
 	return in
 }
 
+// allRoom returns the room of all workers of each service, whether they are in
+// reach or not: objectives don't change while one is cut off.
+func (l *lead) allRoom() map[string]allot.Room {
+	rooms := map[string]allot.Room{}
+	for _, h := range l.hosts {
+		if h.rep != nil && !h.rep.Lost {
+			size := allot.Room{CPU: h.rep.Cpu, Memory: h.rep.Memory, Accels: h.rep.Accels}
+			rooms[h.rep.Service] = rooms[h.rep.Service].Plus(size)
+		}
+	}
+	return rooms
+}
+
 // active returns the jobs of which something may start, in order of acceptance.
 func (l *lead) active(v jobs.View) []*jobs.Job {
 	var list []*jobs.Job
@@ -137,6 +151,11 @@
 		r.Lost = min(elapsed, time.Duration(l.c.cfg.RestoreM)*time.Millisecond)
 	}
 	r.Deadline, r.Late = l.dueDates(j, id.Occur, wall)
+	if o, ok := j.Occurs[id.Occur]; ok {
+		// The tasks that wait still have to run after this one.
+		rest := l.furtherRounds(j, id.Step, 1+waiting(o.Steps[id.Step].Tasks))
+		r.Deadline, r.Late = r.Deadline.Add(-rest), r.Late.Add(-rest)
+	}
 	return r, true
 }
 
@@ -223,22 +242,44 @@
 func (l *lead) dates(n *allot.Need, j *jobs.Job, i, occur int, wall int64) {
 	chain, total := l.chain(j)
 	n.Work = l.workOf(j, i)
-	n.Rest = total - chain[i]
+	n.Rest = total - chain[i] + l.furtherRounds(j, i, len(n.Indexes))
 	n.Deadline, n.Late = l.dueDates(j, occur, wall)
 }
 
+// waiting returns how many tasks are neither done nor on a worker.
+func waiting(tasks []jobs.Task) int {
+	n := 0
+	for i := range tasks {
+		if !tasks[i].Done && tasks[i].On.Zero() {
+			n++
+		}
+	}
+	return n
+}
+
+// rounds returns how many times as long as one task some tasks of a step take.
+func (l *lead) rounds(j *jobs.Job, step, tasks int) float64 {
+	st := j.Spec.Steps[step]
+	return allot.Rounds(tasks, st.Gang, room(st), l.rooms[j.Service])
+}
+
+// furtherRounds returns how long some tasks of a step take after the first of them.
+func (l *lead) furtherRounds(j *jobs.Job, step, tasks int) time.Duration {
+	return time.Duration((l.rounds(j, step, tasks) - 1) * float64(l.workOf(j, step)))
+}
+
 // workOf returns how long a task of a step is expected to take.
 func (l *lead) workOf(j *jobs.Job, step int) time.Duration {
 	return l.learner.Work(jobs.TaskID{Job: j.ID, Step: step}, j.Queue, time.Duration(j.Spec.Steps[step].EstimateMs)*time.Millisecond)
 }
 
-// chain returns when each step of a job would end if nothing had to wait, and when
-// the last one does.
+// chain returns when each step of a job would end if its tasks had their share of
+// the room at once, and when the last one does.
 func (l *lead) chain(j *jobs.Job) ([]time.Duration, time.Duration) {
 	chain := make([]time.Duration, len(j.Spec.Steps))
 	total := time.Duration(0)
 	for x, st := range j.Spec.Steps {
-		work := l.workOf(j, x)
+		work := time.Duration(l.rounds(j, x, st.Count) * float64(l.workOf(j, x)))
 		chain[x] = work
 		for _, dep := range st.After {
 			chain[x] = max(chain[x], chain[dep]+work)
--- a/internal/jobctl/lead.go
+++ b/internal/jobctl/lead.go
@@ -69,6 +69,7 @@
 	rulings  map[string]allot.Verdict        // last verdict logged, by job and step
 	members  time.Time                       // when the membership was last looked at
 	failedOn map[string]map[jobs.Worker]bool // workers on which a job's tasks failed
+	rooms    map[string]allot.Room           // of all workers of a service, as of the last plan
 }
 
 func newLead(c *Control, term uint64) *lead {
