--- a/internal/allot/input.go
+++ b/internal/allot/input.go
@@ -109,7 +109,7 @@
 	Priority int
 	Sure     bool // within its team's guarantee
 	Work     time.Duration
-	Rest     time.Duration // of the steps after this one
+	Rest     time.Duration // of the tasks and steps after this one
 	Ready    time.Time     // since when it could have started
 	Idle     time.Time     // since when nothing of its job has run (tasks of the step, if it lasts), zero if something does
 	Deadline time.Time     // by which the job ought to be complete
