--- a/internal/replog/sim_test.go
+++ b/internal/replog/sim_test.go
@@ -71,6 +71,7 @@
 	// incarnation is what the host last ran as.
 	incarnation string
 	disk        *memdisk.Disk
+	late        bool // not among the initial voters
 	st          *store.Store
 	core        *core
 	rate        float64
@@ -117,7 +118,9 @@
 func (s *sim) options(name string) Options {
 	opt := Options{Name: name, Cluster: "sim", TailBytes: 1000, ChunkBytes: 64, Seed: uint64(name[0])}
 	for _, h := range s.hosts {
-		opt.Voters = append(opt.Voters, Peer{Name: h.name})
+		if !h.late {
+			opt.Voters = append(opt.Voters, Peer{Name: h.name})
+		}
 	}
 	return opt.WithDefaults()
 }
