A voter without a leader for long announces itself, since it may have been removed

A replica that is cut off or frozen while it is removed doesn't hold the entry that removes it, and the leader sends it nothing more. It stood for election for ever and nobody granted a vote; a site with more disks than voters lost a spare with each replacement of a frozen voter. TestReplicaRemovedWhileOutOfReachAnnouncesItself failed before (go test -run TestReplicaRemovedWhile ./internal/replog) and passes now: after three election times without a leader it announces itself to the members that it knows, and the leader can take it in again.

--- a/internal/replog/hello.go
+++ b/internal/replog/hello.go
@@ -89,6 +89,11 @@
 	for _, p := range c.opt.Voters {
 		to = append(to, p.Name)
 	}
+	for _, m := range c.members() {
+		if !slices.Contains(to, m.Name) {
+			to = append(to, m.Name)
+		}
+	}
 	for _, name := range c.hello.extra {
 		if !slices.Contains(to, name) {
 			to = append(to, name)
@@ -99,11 +104,19 @@
 	}
 }
 
+// adriftAfter is for how many election times a voter goes without a leader
+// before it takes itself for removed. An election takes two of them.
+const adriftAfter = 3
+
 // adrift tells whether no leader seems to know this replica: it was removed,
-// or the entry that added it was lost with its leader.
+// or the entry that added it was lost with its leader. A voter that was out of
+// reach at its removal doesn't hold the entry that removed it.
 func (c *core) adrift() bool {
-	committed := c.history.at(c.commit).members
-	return !committed.isVoter(c.self) && !c.now.Before(c.promiseDeadline)
+	deadline := c.promiseDeadline
+	if c.history.at(c.commit).members.isVoter(c.self) {
+		deadline = deadline.Add((adriftAfter - 1) * c.opt.Election)
+	}
+	return !c.now.Before(deadline)
 }
 
 func (c *core) sendHello(to Member) {
