A lost voter gives way within its successor's time

A removed control process was counted as a voter until it had been silent for 8 s, while the deployment allows the next loss as soon as the successor has had catch_up_s, 4 s here. Two of three voters were then gone for good, and callers got no answer about anything that had been accepted.

A replica that has just come in a new place is a sign that a voter was replaced: it takes the place of the one that has been silent for longest, after a quarter of the bound. One that has waited for long is a spare and still waits for 8 s, so a short freeze moves nobody where there are more disks than voters. A voter that is told to stop while a newcomer waits says so to the leader, is replaced at once and stays until it is out of the membership. Beside that, a learner that is lost before it votes no longer keeps the next one out.

Both steps stay: one entry that swaps two voters would let two majorities do without each other.

--- a/internal/jobctl/control.go
+++ b/internal/jobctl/control.go
@@ -33,6 +33,10 @@
 	leadCheck      = 20 * time.Millisecond // between looks whether this replica leads
 	helloCheck     = 200 * time.Millisecond
 	tellCheck      = 200 * time.Millisecond // between looks whether the replicas have changed
+	leaveCheck     = 50 * time.Millisecond
+	// leaveSilence is how long a replica that is leaving goes without a leader before
+	// it takes itself for removed, or finds that nobody can replace it.
+	leaveSilence = 2 * time.Second
 )
 
 // Control is the role at work.
@@ -52,6 +56,8 @@
 	speaks Desk
 	meters meters
 
+	waiting map[string]bool // replicas that wait for a place, by incarnation; only announce uses it
+
 	mu   sync.Mutex
 	lead *lead // while this process leads
 }
@@ -228,6 +234,9 @@
 func (c *Control) announce() {
 	c.meetMembers()
 	st := c.node.Status()
+	if len(st.Members) > 0 {
+		c.noteWaiting(st.Waiting)
+	}
 	if st.Role != replog.Waiting && st.Leader != "" {
 		return
 	}
@@ -238,6 +247,18 @@
 	c.node.Announce(slices.DeleteFunc(known, func(a string) bool { return a == c.cfg.Address }))
 }
 
+// noteWaiting logs each replica that begins to wait for a place.
+func (c *Control) noteWaiting(list []replog.Announced) {
+	known := map[string]bool{}
+	for _, a := range list {
+		known[a.Incarnation] = true
+		if !c.waiting[a.Incarnation] {
+			c.env.Log.Info("replica waits", zap.String("name", a.Name), zap.String("incarnation", a.Incarnation))
+		}
+	}
+	c.waiting = known
+}
+
 func (c *Control) serveDesk(ctx context.Context) error {
 	srv := &http.Server{
 		Handler:           c.speaks.Handler(c, c.env.Log),
@@ -253,12 +274,34 @@
 	return nil
 }
 
-// Drain implements kern.Runner. A leader lets the others elect a new one at once.
-func (c *Control) Drain(context.Context) error {
-	if c.node != nil {
-		c.node.Resign()
+// Drain implements kern.Runner. A leader lets the others elect a new one at once. A
+// voter whose successor waits stays until that one votes in its place.
+func (c *Control) Drain(ctx context.Context) error {
+	if c.node == nil {
+		return nil
 	}
-	return nil
+	awaited := c.cfg.succession().Awaited(c.node.Status(), c.env.Boot.Now())
+	if awaited {
+		c.env.Log.Info("stays until its successor votes")
+		c.node.Leave()
+	}
+	c.node.Resign()
+	if !awaited {
+		return nil
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silent := c.env.Boot.Now().Add(leaveSilence)
+	return kern.Every(ctx, leaveCheck, func() {
+		st, now := c.node.Status(), c.env.Boot.Now()
+		if st.Leader != "" {
+			silent = now.Add(leaveSilence)
+		}
+		if st.Succeeded() || !now.Before(silent) {
+			c.env.Log.Info("leaves", zap.Bool("succeeded", st.Succeeded()), zap.String("leader", st.Leader))
+			cancel()
+		}
+	})
 }
 
 // Reload implements kern.Reloader. Only the seeds can change.
--- a/internal/jobctl/lead.go
+++ b/internal/jobctl/lead.go
@@ -50,6 +50,7 @@
 	c     *Control
 	log   *zap.Logger
 	term  uint64
+	rule  replog.SuccessionRule
 	began time.Time
 	done  <-chan struct{}
 	woken chan struct{}
@@ -73,7 +74,7 @@
 
 func newLead(c *Control, term uint64) *lead {
 	return &lead{
-		c: c, term: term, log: c.env.Log, began: c.env.Boot.Now(), woken: make(chan struct{}, 1),
+		c: c, term: term, rule: c.cfg.succession(), log: c.env.Log, began: c.env.Boot.Now(), woken: make(chan struct{}, 1),
 		hosts: map[string]*host{}, learner: allot.NewLearner(), runs: map[runKey]begun{},
 		stopping: map[runKey]string{}, leases: map[jobs.Worker]time.Time{}, born: map[string]time.Time{}, ready: map[jobs.TaskID]time.Time{},
 		ended: map[string]time.Time{}, rulings: map[string]allot.Verdict{},
--- a/internal/jobctl/orders.go
+++ b/internal/jobctl/orders.go
@@ -18,9 +18,6 @@
 	// memberCheck is how often the leader looks after the membership.
 	memberCheck = 300 * time.Millisecond
 	memberLimit = time.Second
-	// deadAfter is how long a voter is silent before a replica at another
-	// address may take its place. A restart with a full disk takes less.
-	deadAfter = 8 * time.Second
 	// orderAgain is how long an order may show no effect before it is given
 	// again. An agent repeats an order to its worker every 0.1 s by itself, so
 	// this only finds orders that the agent has lost.
@@ -211,6 +208,11 @@
 		l.listed = listed
 		l.log.Info("membership", zap.Uint64("term", l.term), zap.Int("voters", voters), zap.Int("members", len(st.Members)), zap.String("list", listed))
 	}
+	if m, ok := l.rule.Dropped(st, now); ok {
+		err := node.Remove(ctx, m.Incarnation)
+		l.log.Warn("replica dropped before it voted", zap.String("name", m.Name), zap.String("incarnation", m.Incarnation), zap.Error(err))
+		return
+	}
 	for _, m := range st.Members {
 		if m.Role == replog.Learner && m.Replaces == "" {
 			if err := node.Promote(ctx, m.Incarnation); err == nil {
@@ -251,11 +253,11 @@
 		l.log.Info("replica joins", zap.String("name", a.Name), zap.String("incarnation", a.Incarnation))
 		return true, l.c.node.AddLearner(ctx, a.Name)
 	}
-	for _, p := range st.Peers {
-		if now.Sub(p.Heard) > deadAfter && !replaced(p.Incarnation) {
-			l.log.Warn("replica replaced", zap.String("name", p.Name), zap.String("by", a.Name), zap.Duration("silent", now.Sub(p.Heard)))
-			return true, l.c.node.Replace(ctx, p.Incarnation, a.Name)
-		}
+	s, ok := l.rule.Successor(st, now)
+	if !ok || s.By != a {
+		return false, nil
 	}
-	return false, nil
+	l.log.Warn("replica replaced", zap.String("name", s.Old.Name), zap.String("by", a.Name), zap.Duration("silent", s.Silent),
+		zap.Bool("leaving", s.Old.Leaving), zap.Duration("waited", now.Sub(a.Since)))
+	return true, l.c.node.Replace(ctx, s.Old.Incarnation, a.Name)
 }
--- a/internal/jobctl/settings.go
+++ b/internal/jobctl/settings.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/knapweedlug/knapweedlug/internal/kern"
+	"github.com/knapweedlug/knapweedlug/internal/replog"
 )
 
 // RoleName is the role's name in settings and towards its peers.
@@ -23,6 +24,7 @@
 	First   bool     `json:"first" help:"the whole system starts for the first time, with empty folders: the seeds found the cluster"`
 	Losses  int      `json:"losses" validate:"min=0,max=4" help:"control processes with their folders that may be lost at once; twice as many and one more vote"`
 
+	Catchup  float64 `json:"catchup" validate:"min=0" help:"seconds after the start of a replica in a new place by which it has to have taken the place of one that is gone; 0 is no bound"`
 	HoldMs   int64   `json:"hold" validate:"min=1000" help:"milliseconds for which a worker lets runs go on at most without a word; leases are four fifths of it"`
 	ThawMs   int64   `json:"thaw" validate:"min=0" help:"milliseconds that a worker may take to notice that a lease has ended"`
 	Remote   float64 `json:"remote" validate:"min=1" help:"how many times as long work takes far from its data or over racks"`
@@ -85,6 +87,33 @@
 	return max(0, time.Duration(s.Reclaim-s.StopMs)*time.Millisecond-reclaimMargin)
 }
 
+const (
+	// leastSilence is how long a voter is silent at least before it is replaced:
+	// seven heartbeats, and more than an election time.
+	leastSilence = 700 * time.Millisecond
+	// mostSilence is enough for any bound: an election takes 1.2 s.
+	mostSilence = 2 * time.Second
+	// silenceShare of the bound is waited for the voter. The rest is for the start
+	// of its successor, an election if it led, a snapshot, and three commits.
+	silenceShare = 4
+	// freshFactor is for how many times the bound a replica counts as one that has
+	// just come. A planned stop comes once the bound has passed.
+	freshFactor = 5
+	// spareAfter is how long a voter is silent before a spare takes its place. A
+	// restart with a full disk takes less, as do most freezes.
+	spareAfter = 8 * time.Second
+)
+
+// succession returns when a voter gives way to another replica.
+func (s *Settings) succession() replog.SuccessionRule {
+	bound := time.Duration(s.Catchup * float64(time.Second))
+	return replog.SuccessionRule{
+		Silence:  min(max(bound/silenceShare, leastSilence), mostSilence),
+		Fresh:    freshFactor * bound,
+		Patience: spareAfter,
+	}
+}
+
 // drift bounds the rate error of a worker's clock, as the platform states it.
 const drift = 0.02
 
@@ -113,7 +142,7 @@
 // Defaults implements kern.Role.
 func (role) Defaults() kern.Settings {
 	return &Settings{
-		Address: "127.0.0.1:7500", Desk: "127.0.0.1:7501", Losses: 1,
+		Address: "127.0.0.1:7500", Desk: "127.0.0.1:7501", Losses: 1, Catchup: 4,
 		HoldMs: 10000, ThawMs: 300, Remote: 3, StatusS: 120, StopMs: 400, Reclaim: 2900, RestoreM: 600,
 	}
 }
--- a/internal/replog/core.go
+++ b/internal/replog/core.go
@@ -65,7 +65,8 @@
 	// restore is a snapshot that the state machine must be restored from.
 	restore *wire.LogSnapshot
 	full    bool
-	queued  int // bytes of own proposals that wait for commit
+	leaving bool // the process is about to end
+	queued  int  // bytes of own proposals that wait for commit
 
 	out outputs
 }
@@ -236,7 +237,7 @@
 		Kind: kind, Cluster: c.opt.Cluster,
 		From: c.opt.Name, FromIncarnation: c.self, Boot: c.boot,
 		To: to.Name, ToIncarnation: to.Incarnation,
-		Term: c.state.term, Full: c.full, Formed: c.formed(),
+		Term: c.state.term, Full: c.full, Formed: c.formed(), Leaving: c.leaving,
 	}
 }
 
--- a/internal/replog/hello.go
+++ b/internal/replog/hello.go
@@ -31,6 +31,7 @@
 type announcement struct {
 	incarnation string
 	formed      bool
+	since       time.Time // of the first in an unbroken series
 	heard       time.Time
 }
 
@@ -150,8 +151,16 @@
 	}
 }
 
+// announceGap is for how many election times a replica may be silent and still
+// counts as waiting all the while. It announces itself with each heartbeat.
+const announceGap = 5
+
 func (c *core) noteAnnouncement(m *wire.LogMessage) {
-	c.hello.announced[m.GetFrom()] = announcement{m.GetFromIncarnation(), m.GetFormed(), c.now}
+	since := c.now
+	if a, ok := c.hello.announced[m.GetFrom()]; ok && a.incarnation == m.GetFromIncarnation() && c.now.Sub(a.heard) < announceGap*c.opt.Election {
+		since = a.since
+	}
+	c.hello.announced[m.GetFrom()] = announcement{m.GetFromIncarnation(), m.GetFormed(), since, c.now}
 }
 
 func (c *core) stepHelloReply(m *wire.LogMessage) {
--- a/internal/replog/lead.go
+++ b/internal/replog/lead.go
@@ -47,6 +47,7 @@
 	heard    time.Time
 	boot     uint64
 	full     bool
+	leaving  bool // the peer's process is about to end
 	refused  bool // the peer has lost entries that it acknowledged
 	transfer transfer
 	// target is what was committed at targetSet. A peer that reaches it soon
@@ -272,7 +273,7 @@
 	if p == nil || m.GetTerm() != c.state.term || m.GetBoot() < p.boot || p.refused {
 		return
 	}
-	p.boot, p.heard, p.full = m.GetBoot(), c.now, m.GetFull()
+	p.boot, p.heard, p.full, p.leaving = m.GetBoot(), c.now, m.GetFull(), m.GetLeaving()
 	if m.GetRound() > p.round {
 		p.round = m.GetRound()
 		c.updateQuorum()
--- a/internal/replog/sim_test.go
+++ b/internal/replog/sim_test.go
@@ -49,8 +49,10 @@
 	clients  []*simOp
 	made     map[string]int
 	lost     int
-	sent     map[string]int   // bytes, by host
-	watch    func(h *simHost) // called after each step of a host
+	// replacements counts those that tend began.
+	replacements int
+	sent         map[string]int   // bytes, by host
+	watch        func(h *simHost) // called after each step of a host
 }
 
 type simMail struct {
--- a/internal/replog/status.go
+++ b/internal/replog/status.go
@@ -55,6 +55,7 @@
 	Heard       time.Time `json:"heard"`
 	DiskFull    bool      `json:"diskFull"`
 	Refused     bool      `json:"refused"` // has lost acknowledged entries; doesn't count
+	Leaving     bool      `json:"leaving"` // its process is about to end
 	Sent        uint64    `json:"sent,omitempty"`
 	Size        uint64    `json:"size,omitempty"` // of the snapshot on its way
 }
@@ -76,6 +77,7 @@
 type Announced struct {
 	Name        string    `json:"name"`
 	Incarnation string    `json:"incarnation"`
+	Since       time.Time `json:"since"` // of its first announcement that this replica knows of
 	Heard       time.Time `json:"heard"`
 }
 
@@ -123,7 +125,7 @@
 		}
 		s := PeerStatus{
 			Name: m.Name, Incarnation: m.Incarnation, State: p.state, Match: p.match, Next: p.next,
-			Inflight: p.bytes, Heard: p.heard, DiskFull: p.full, Refused: p.refused,
+			Inflight: p.bytes, Heard: p.heard, DiskFull: p.full, Refused: p.refused, Leaving: p.leaving,
 		}
 		if p.state == Transfer {
 			s.Sent, s.Size = p.transfer.offset, p.transfer.snapshot.GetSize()
@@ -159,7 +161,7 @@
 	for name, a := range c.hello.announced {
 		_, member := c.members().get(a.incarnation)
 		if !member && c.now.Sub(a.heard) < c.opt.Election {
-			list = append(list, Announced{Name: name, Incarnation: a.incarnation, Heard: a.heard})
+			list = append(list, Announced{Name: name, Incarnation: a.incarnation, Since: a.since, Heard: a.heard})
 		}
 	}
 	slices.SortFunc(list, func(a, b Announced) int { return cmp.Compare(a.Name, b.Name) })
--- a/internal/replog/succeed_test.go
+++ b/internal/replog/succeed_test.go
@@ -1,6 +1,7 @@
 package replog
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -30,3 +31,224 @@
 	s.runUntil("an announcement", 10*time.Second, func() bool { return len(s.leader().core.waiting()) == 1 })
 	require.Equal(t, c.incarnation, s.leader().core.waiting()[0].Incarnation)
 }
+
+// catchUp is how long a successor counts as lost after its start.
+const catchUp = 4 * time.Second
+
+var testRule = SuccessionRule{Silence: time.Second, Fresh: 20 * time.Second, Patience: 8 * time.Second}
+
+// tend does what jobctl's leader does with the membership.
+func (s *sim) tend() {
+	l := s.leader()
+	if l == nil || !l.core.ready() {
+		return
+	}
+	c, now := l.core, s.local(l)
+	c.advance(now)
+	st := Status{Incarnation: c.self, Members: c.members(), Peers: c.peerStatus(), Waiting: c.waiting()}
+	if m, ok := testRule.Dropped(st, now); ok {
+		_, _ = c.remove(m.Incarnation)
+	} else if next, ok := testRule.Successor(st, now); ok {
+		if _, err := c.replace(next.Old.Incarnation, next.By.Name); err == nil {
+			s.replacements++
+		}
+	}
+	s.settle(l)
+}
+
+// tendFor lets time pass with a look at the membership as often as jobctl's.
+func (s *sim) tendFor(d time.Duration) {
+	for end := s.now + d; s.now < end; {
+		s.run(400 * time.Millisecond)
+		s.tend()
+	}
+}
+
+// voters returns the names of the voters by the leader, once its membership is committed.
+func (s *sim) voters() []string {
+	l := s.leader()
+	if l == nil || l.core.history.latest().index > l.core.commit {
+		return nil
+	}
+	var names []string
+	for _, m := range l.core.members() {
+		names = append(names, m.Name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// newFive returns a group of five that a leads, of which two may be lost.
+func newFive(t *testing.T) *sim {
+	s := newSim(t, 7, 5)
+	s.write(s.lead("a"), "old")
+	s.run(3 * DefaultHeartbeat)
+	return s
+}
+
+// survives loses the disk of a voter and checks that the rest elects a leader and
+// that nothing committed is gone.
+func (s *sim) survives(t *testing.T, lost ...string) {
+	t.Helper()
+	for _, name := range lost {
+		s.crash(s.host(name))
+	}
+	s.runUntil("a leader", 10*time.Second, func() bool { l := s.leader(); return l != nil && l.core.ready() })
+	l := s.leader()
+	s.write(l, "after")
+	op := s.clients[len(s.clients)-1]
+	s.runUntil("a write", 5*time.Second, func() bool { return op.ok })
+}
+
+// Guards against a lost voter that is still counted when its successor has had its time.
+func TestSuccessorVotesWithinItsTime(t *testing.T) {
+	for _, gone := range []string{"a", "b", "c"} { // a leads
+		for _, next := range []string{"a", "b", "c"} {
+			if next == gone {
+				continue
+			}
+			s, _, _, _ := newTrio(t)
+			s.crash(s.host(gone))
+			s.tendFor(time.Second)
+			s.arrive("d")
+			s.tendFor(catchUp)
+			require.Len(t, s.voters(), 3, "%s is gone", gone)
+			require.NotContains(t, s.voters(), gone)
+			s.survives(t, next)
+		}
+	}
+}
+
+// Guards against one of two successors that waits for the other.
+func TestTwoSuccessorsAtOnce(t *testing.T) {
+	for _, gone := range [][]string{{"a", "b"}, {"b", "c"}} {
+		s := newFive(t)
+		for _, name := range gone {
+			s.crash(s.host(name))
+		}
+		s.tendFor(time.Second)
+		s.arrive("f")
+		s.arrive("g")
+		s.tendFor(catchUp)
+		require.Subset(t, s.voters(), []string{"d", "e", "f", "g"})
+		require.Len(t, s.voters(), 5)
+		s.survives(t, "d", "e")
+	}
+}
+
+// Guards against a voter that thaws while its successor catches up and stays outside for good.
+func TestVoterComesBackDuringItsReplacement(t *testing.T) {
+	s, a, b, c := newTrio(t)
+	c.frozen = s.now + 1500*time.Millisecond
+	d := s.arrive("d")
+	d.slow = 50 * time.Millisecond
+	s.runUntil("a replacement", 5*time.Second, func() bool {
+		s.tendFor(100 * time.Millisecond)
+		return s.replacements == 1
+	})
+	d.stall()
+	s.tendFor(2 * time.Second)
+	require.True(t, s.up(c))
+	s.write(a, "meanwhile")
+	d.resume()
+	s.tendFor(catchUp)
+	require.Equal(t, []string{"a", "b", "d"}, s.voters())
+	s.crash(b)
+	s.tendFor(catchUp)
+	require.Equal(t, []string{"a", "c", "d"}, s.voters(), "it is there when the next one goes")
+	require.Equal(t, 2, s.replacements)
+	s.survives(t, "a")
+}
+
+// Guards against a successor that is lost before it votes and keeps the next one out.
+func TestSuccessorIsLostBeforeItVotes(t *testing.T) {
+	for _, how := range []string{"gone", "wiped"} {
+		s, _, _, c := newTrio(t)
+		s.crash(c)
+		s.tendFor(time.Second)
+		d := s.arrive("d")
+		d.stall()
+		s.runUntil("a replacement", 5*time.Second, func() bool {
+			s.tendFor(100 * time.Millisecond)
+			return s.replacements == 1
+		})
+		s.crash(d)
+		if how == "wiped" {
+			d.resume()
+			s.wipe(d)
+		} else {
+			s.arrive("e")
+		}
+		s.tendFor(catchUp)
+		require.Len(t, s.voters(), 3, how)
+		require.NotContains(t, s.voters(), "c", how)
+		s.survives(t, "b")
+	}
+}
+
+// Guards against a frozen voter that is replaced in the place of one that is gone.
+func TestLongestSilentVoterIsReplacedFirst(t *testing.T) {
+	s := newFive(t)
+	s.crash(s.host("d"))
+	s.tendFor(2 * time.Second)
+	s.host("b").frozen = s.now + 4*time.Second
+	s.tendFor(1500 * time.Millisecond)
+	s.arrive("f")
+	s.tendFor(catchUp)
+	require.Equal(t, []string{"a", "b", "c", "e", "f"}, s.voters())
+}
+
+// Guards against spares that replace voters which freeze for a few seconds.
+func TestSpareWaitsForAFrozenVoter(t *testing.T) {
+	s := newFive(t)
+	s.arrive("f")
+	s.arrive("g")
+	s.tendFor(testRule.Fresh + time.Second)
+	for i, name := range []string{"b", "c", "a", "d", "e"} {
+		h := s.host(name)
+		h.frozen = s.now + time.Duration(2+i)*time.Second
+		s.tendFor(8 * time.Second)
+	}
+	require.Zero(t, s.replacements)
+	s.crash(s.host("b"))
+	s.tendFor(testRule.Patience + 2*time.Second)
+	require.Equal(t, 1, s.replacements)
+	require.Len(t, s.voters(), 5)
+}
+
+// Guards against a voter that is stopped for good and votes on in the membership.
+func TestLeavingVoterIsReplacedAtOnce(t *testing.T) {
+	for _, name := range []string{"a", "b"} { // a leads
+		s, _, _, _ := newTrio(t)
+		s.arrive("d")
+		s.tendFor(catchUp)
+		require.Zero(t, s.replacements, "nobody is silent")
+		h := s.host(name)
+		h.core.leaving = true
+		h.core.resign()
+		s.tendFor(3 * time.Second)
+		require.Len(t, s.voters(), 3)
+		require.NotContains(t, s.voters(), name)
+		st := Status{Incarnation: h.core.self, Members: h.core.members(), Leader: h.core.leaderName()}
+		require.True(t, st.Succeeded(), "it knows that it may go")
+		s.crash(h)
+		s.survives(t, "c")
+	}
+}
+
+// A single entry that puts one voter in the place of another lets two majorities
+// do without each other: a and c before it, b and d after it.
+func TestReplacementPassesThroughFourVoters(t *testing.T) {
+	s, a, _, c := newTrio(t)
+	s.crash(c)
+	s.tendFor(1200 * time.Millisecond)
+	s.arrive("d")
+	seen := map[int]bool{}
+	s.watch = func(h *simHost) {
+		if h == a {
+			seen[len(a.core.members().voters())] = true
+		}
+	}
+	s.tendFor(catchUp)
+	require.Equal(t, map[int]bool{3: true, 4: true}, seen)
+}
