Restarted replicas and those of the first start are spares

A replica counted as a newcomer for five times the bound after any other one first heard of it. Now a waiting replica says for how long it has waited, and counts as a newcomer only if its own process has made its folder, or was a member until it lost its leader. TestRestartsInTurnReplaceNobody fails with the distinction taken out, and so does TestLongestSilentVoterIsReplacedFirst with the order reversed (scratch copy).

--- a/internal/jobctl/control.go
+++ b/internal/jobctl/control.go
@@ -120,7 +120,7 @@
 	_, _ = h.Write([]byte(c.cfg.Address)) // never fails
 	opt := replog.Options{
 		Name: c.cfg.Address, Cluster: c.env.Node.Cluster, Seed: h.Sum64() ^ uint64(c.env.Boot.Now().UnixNano()),
-		Clock: c.env.Boot,
+		Clock: c.env.Boot, First: c.cfg.First,
 	}
 	for _, addr := range c.cfg.replicas() {
 		// After the first start nobody founds a cluster: an empty folder is one
--- a/internal/replog/elect.go
+++ b/internal/replog/elect.go
@@ -198,6 +198,7 @@
 	c.votes = nil
 	c.state = c.state.withAccepted(c.state.term)
 	c.leading = newLeading(c)
+	c.hello.followed = true
 	c.appendOwn(wire.LogEntryKind_LOG_ENTRY_KIND_EMPTY, nil)
 	c.beginRound()
 }
--- a/internal/replog/follow.go
+++ b/internal/replog/follow.go
@@ -18,6 +18,7 @@
 	}
 	c.leader = m.GetFromIncarnation()
 	c.promiseDeadline = c.now.Add(c.opt.Election)
+	c.hello.followed = true
 	c.resetElection()
 	return true
 }
--- a/internal/replog/hello.go
+++ b/internal/replog/hello.go
@@ -25,13 +25,18 @@
 	// extra are replicas to announce oneself to besides the initial voters,
 	// which may have left long ago.
 	extra []string
+	// waits is since when this replica has waited for a place that another one may
+	// have left to it; zero for a spare. followed tells that it has had a place since
+	// its start.
+	waits    time.Time
+	followed bool
 }
 
 // announcement is what a replica said of itself.
 type announcement struct {
 	incarnation string
 	formed      bool
-	since       time.Time // of the first in an unbroken series
+	since       time.Time // since when it has waited, zero for a spare
 	heard       time.Time
 }
 
@@ -45,6 +50,9 @@
 		// A folder that was just made has no earlier self.
 		vouched: c.boot == 1,
 	}
+	if c.boot == 1 && !c.opt.First && !c.formed() {
+		h.waits = c.now
+	}
 	if voters := c.members().voters(); len(voters) == 1 && voters[0].Incarnation == c.self {
 		h.vouched = true
 	}
@@ -86,6 +94,9 @@
 
 // announce tells whoever may know of the cluster that this replica is here.
 func (c *core) announce() {
+	if c.hello.followed {
+		c.hello.waits, c.hello.followed = c.now, false
+	}
 	to := make([]string, 0, len(c.opt.Voters)+len(c.hello.extra))
 	for _, p := range c.opt.Voters {
 		to = append(to, p.Name)
@@ -126,13 +137,23 @@
 	}
 	m := c.message(wire.LogKind_LOG_KIND_HELLO, to)
 	m.Accepted, m.Index = c.durable.accepted, c.durable.index
+	m.Waited = c.waited()
 	c.send(m)
 }
 
+// waited returns for how many milliseconds this replica has waited for a place, and
+// one more, or 0 if it is a spare.
+func (c *core) waited() uint64 {
+	if c.hello.waits.IsZero() {
+		return 0
+	}
+	return uint64(c.now.Sub(c.hello.waits).Milliseconds()) + 1
+}
+
 func (c *core) stepHello(m *wire.LogMessage) {
 	c.noteAnnouncement(m)
 	r := c.reply(wire.LogKind_LOG_KIND_HELLO_REPLY, m)
-	r.Round = m.GetBoot()
+	r.Round, r.Waited = m.GetBoot(), c.waited()
 	mark, known := c.marks.marks[m.GetFromIncarnation()]
 	if known {
 		r.Marks = []*wire.LogMark{mark}
@@ -151,16 +172,12 @@
 	}
 }
 
-// announceGap is for how many election times a replica may be silent and still
-// counts as waiting all the while. It announces itself with each heartbeat.
-const announceGap = 5
-
 func (c *core) noteAnnouncement(m *wire.LogMessage) {
-	since := c.now
-	if a, ok := c.hello.announced[m.GetFrom()]; ok && a.incarnation == m.GetFromIncarnation() && c.now.Sub(a.heard) < announceGap*c.opt.Election {
-		since = a.since
+	a := announcement{incarnation: m.GetFromIncarnation(), formed: m.GetFormed(), heard: c.now}
+	if n := m.GetWaited(); n > 0 {
+		a.since = c.now.Add(-time.Duration(n-1) * time.Millisecond)
 	}
-	c.hello.announced[m.GetFrom()] = announcement{m.GetFromIncarnation(), m.GetFormed(), since, c.now}
+	c.hello.announced[m.GetFrom()] = a
 }
 
 func (c *core) stepHelloReply(m *wire.LogMessage) {
--- a/internal/replog/replog.go
+++ b/internal/replog/replog.go
@@ -121,6 +121,10 @@
 	// member announces itself.
 	Voters []Peer
 
+	// First tells that the whole cluster starts for the first time. A replica that
+	// finds no place then is a spare.
+	First bool
+
 	// Heartbeat is the interval of a leader's heartbeats.
 	Heartbeat time.Duration
 	// Election is the least time without a leader before a new election. The
--- a/internal/replog/status.go
+++ b/internal/replog/status.go
@@ -77,7 +77,7 @@
 type Announced struct {
 	Name        string    `json:"name"`
 	Incarnation string    `json:"incarnation"`
-	Since       time.Time `json:"since"` // of its first announcement that this replica knows of
+	Since       time.Time `json:"since"` // since when it has waited, zero for a spare
 	Heard       time.Time `json:"heard"`
 }
 
--- a/internal/replog/succeed.go
+++ b/internal/replog/succeed.go
@@ -13,8 +13,9 @@
 }
 
 // SuccessionRule tells when a voter that is out of reach gives way. A replica that has
-// just come in a new place is a sign that another one was replaced by it; one that
-// has waited for long is a spare, and a frozen voter is better waited for.
+// just come in a new place is a sign that another one was replaced by it, and one
+// that was a member until now has been replaced itself. One that has waited for long
+// or was restarted is a spare, and a frozen voter is better waited for.
 type SuccessionRule struct {
 	Silence  time.Duration // after which a replica that has just come takes its place
 	Fresh    time.Duration // for which a replica counts as one that has just come
--- a/internal/replog/succeed_test.go
+++ b/internal/replog/succeed_test.go
@@ -56,6 +56,13 @@
 	s.settle(l)
 }
 
+// restart takes a host down for a while.
+func (s *sim) restart(h *simHost, down time.Duration) {
+	s.crash(h)
+	s.tendFor(down)
+	s.boot(h)
+}
+
 // tendFor lets time pass with a look at the membership as often as jobctl's.
 func (s *sim) tendFor(d time.Duration) {
 	for end := s.now + d; s.now < end; {
@@ -216,6 +223,22 @@
 	require.Len(t, s.voters(), 5)
 }
 
+// Guards against spares of the first start, restarted ones, and restarted voters that
+// push out one voter after the other while all are restarted in turn.
+func TestRestartsInTurnReplaceNobody(t *testing.T) {
+	s := newFive(t)
+	for _, name := range []string{"f", "g"} {
+		s.restart(s.arrive(name), time.Second)
+	}
+	for range 2 {
+		for _, name := range []string{"f", "b", "c", "g", "a", "d", "e"} {
+			s.restart(s.host(name), 2*time.Second)
+			s.tendFor(time.Second)
+		}
+	}
+	require.Zero(t, s.replacements)
+}
+
 // Guards against a voter that is stopped for good and votes on in the membership.
 func TestLeavingVoterIsReplacedAtOnce(t *testing.T) {
 	for _, name := range []string{"a", "b"} { // a leads
