A replica that is leaving asks for no other place

After its removal it announced itself as a newcomer until its process ended, and could have been given the place of a voter that was silent in that second. TestLeavingVoterIsReplacedAtOnce failed before with a replica that waits.

--- a/internal/replog/hello.go
+++ b/internal/replog/hello.go
@@ -87,7 +87,7 @@
 			c.sendHello(m)
 		}
 	}
-	if c.adrift() {
+	if c.adrift() && !c.leaving {
 		c.announce()
 	}
 }
--- a/internal/replog/succeed_test.go
+++ b/internal/replog/succeed_test.go
@@ -261,6 +261,7 @@
 		require.NotContains(t, s.voters(), name)
 		st := Status{Incarnation: h.core.self, Members: h.core.members(), Leader: h.core.leaderName()}
 		require.True(t, st.Succeeded(), "it knows that it may go")
+		require.Empty(t, s.leader().core.waiting(), "it asks for no other place")
 		s.crash(h)
 		s.survives(t, "c")
 	}
