A successor that catches up leaves the leader's heartbeats their share of the link

A chunk was sent again every 0.6 s beside it. What goes to a learner at once, and the size of a chunk, now begin at 32 KiB, double with each acknowledgement within a heartbeat, and halve when one takes two. Voters are sent entries as before.

--- a/internal/replog/chunk.go
+++ b/internal/replog/chunk.go
@@ -11,6 +11,7 @@
 	snapshot *wire.LogSnapshot // nil until the first chunk was read
 	offset   uint64
 	retry    time.Time // when the chunk is sent again
+	asked    time.Time
 }
 
 // chunkRequest asks for a chunk of the latest snapshot, or of the one with
@@ -19,6 +20,7 @@
 	to     Member
 	id     string
 	offset uint64
+	bytes  int
 }
 
 func (c *core) startTransfer(to Member, p *progress) {
@@ -29,8 +31,8 @@
 }
 
 func (c *core) requestChunk(to Member, p *progress) {
-	p.transfer.retry = c.now.Add(c.opt.Election)
-	c.out.chunks = append(c.out.chunks, chunkRequest{to, p.transfer.snapshot.GetId(), p.transfer.offset})
+	p.transfer.retry, p.transfer.asked = c.now.Add(c.opt.Election), c.now
+	c.out.chunks = append(c.out.chunks, chunkRequest{to, p.transfer.snapshot.GetId(), p.transfer.offset, min(c.opt.ChunkBytes, p.window)})
 }
 
 // retryTransfer sends a chunk again whose answer is overdue.
@@ -125,6 +127,7 @@
 		return
 	}
 	p.heard = c.now
+	p.adapt(c.now.Sub(t.asked), c.opt.Heartbeat, c.opt.InflightBytes)
 	if m.GetHint() >= t.snapshot.GetSize() {
 		p.acknowledge(t.snapshot.GetIndex())
 		p.probe(p.match + 1)
--- a/internal/replog/lead.go
+++ b/internal/replog/lead.go
@@ -42,6 +42,7 @@
 	next     uint64 // first entry to send
 	inflight []flight
 	bytes    int  // unacknowledged bytes
+	window   int  // bytes at once to a learner, or of a snapshot
 	paused   bool // in Probe: wait for the answer or the next heartbeat
 	round    uint64
 	heard    time.Time
@@ -61,6 +62,7 @@
 type flight struct {
 	last  uint64
 	bytes int
+	sent  time.Time
 }
 
 func (p *progress) probe(next uint64) {
@@ -68,6 +70,20 @@
 	p.inflight, p.bytes, p.paused = nil, 0, false
 }
 
+// leastWindow takes 130 ms on a link of 2 Mbit/s, a fifth of an election time.
+const leastWindow = 32 << 10
+
+// adapt sets the window by how long the last part took, so that heartbeats on the same
+// link aren't held up by a peer that is catching up.
+func (p *progress) adapt(took, heartbeat time.Duration, most int) {
+	switch {
+	case took < heartbeat:
+		p.window = min(2*p.window, most)
+	case took > 2*heartbeat:
+		p.window = max(p.window/2, min(leastWindow, most))
+	}
+}
+
 // acknowledge notes that the peer holds all entries up to an index.
 func (p *progress) acknowledge(index uint64) {
 	p.match = max(p.match, index)
@@ -93,7 +109,7 @@
 	}
 	p, ok := c.leading.peers[inc]
 	if !ok {
-		p = &progress{state: Probe, next: c.log.lastIndex() + 1, heard: c.now, targetSet: c.now}
+		p = &progress{state: Probe, next: c.log.lastIndex() + 1, heard: c.now, targetSet: c.now, window: min(leastWindow, c.opt.InflightBytes)}
 		p.target = max(c.commit, c.leading.termStart)
 		c.leading.peers[inc] = p
 	}
@@ -236,7 +252,7 @@
 }
 
 func (c *core) replicateTo(to Member, p *progress) {
-	for p.state != Transfer && !p.paused && p.next <= c.log.lastIndex() && p.bytes < c.opt.InflightBytes {
+	for p.state != Transfer && !p.paused && p.next <= c.log.lastIndex() && p.bytes < c.windowOf(to, p) {
 		if p.next <= c.log.base {
 			c.startTransfer(to, p)
 			return
@@ -245,8 +261,17 @@
 	}
 }
 
+// windowOf returns how many bytes may be on their way to a peer. A learner may lack
+// much and nothing waits for it.
+func (c *core) windowOf(to Member, p *progress) int {
+	if to.Role == Learner {
+		return p.window
+	}
+	return c.opt.InflightBytes
+}
+
 func (c *core) sendEntries(to Member, p *progress) {
-	entries := c.log.from(p.next, c.opt.AppendBytes)
+	entries := c.log.from(p.next, min(c.opt.AppendBytes, c.windowOf(to, p)))
 	m := c.message(wire.LogKind_LOG_KIND_APPEND, to)
 	m.Index, m.Commit, m.Entries = p.next-1, c.commit, entries
 	m.LogTerm, _ = c.log.term(p.next - 1)
@@ -260,7 +285,7 @@
 		size += entryBytes(e)
 	}
 	p.next = entries[len(entries)-1].GetIndex() + 1
-	p.inflight = append(p.inflight, flight{p.next - 1, size})
+	p.inflight = append(p.inflight, flight{p.next - 1, size, c.now})
 	p.bytes += size
 }
 
@@ -285,6 +310,9 @@
 	if m.GetIndex() > c.log.lastIndex() {
 		return
 	}
+	if len(p.inflight) > 0 && p.inflight[0].last <= m.GetIndex() {
+		p.adapt(c.now.Sub(p.inflight[0].sent), c.opt.Heartbeat, c.opt.InflightBytes)
+	}
 	p.acknowledge(m.GetIndex())
 	c.measureLag(p)
 	if p.state == Probe && m.GetIndex() > 0 {
--- a/internal/replog/node.go
+++ b/internal/replog/node.go
@@ -264,11 +264,11 @@
 
 func (n *Node) readChunk(r chunkRequest) (*wire.LogChunk, error) {
 	if r.id != "" {
-		chunk, err := n.st.ReadChunk(r.id, r.offset, n.opt.ChunkBytes)
+		chunk, err := n.st.ReadChunk(r.id, r.offset, r.bytes)
 		if !errors.Is(err, store.ErrNoSnapshot) {
 			return chunk, err
 		}
 		// A newer snapshot has taken its place.
 	}
-	return n.st.ReadChunk(n.st.Snapshot().GetId(), 0, n.opt.ChunkBytes)
+	return n.st.ReadChunk(n.st.Snapshot().GetId(), 0, r.bytes)
 }
--- a/internal/replog/sim_test.go
+++ b/internal/replog/sim_test.go
@@ -73,8 +73,10 @@
 	// incarnation is what the host last ran as.
 	incarnation string
 	disk        *memdisk.Disk
-	late        bool // not among the initial voters
-	first       bool // started along with them all the same
+	link        int           // bytes a second that it can send, 0 for any number
+	sending     time.Duration // until when its link is busy
+	late        bool          // not among the initial voters
+	first       bool          // started along with them all the same
 	st          *store.Store
 	core        *core
 	rate        float64
@@ -255,6 +257,10 @@
 		}
 		for range copies {
 			at := s.now + simDelay
+			if h.link > 0 {
+				h.sending = max(h.sending, s.now) + time.Duration(proto.Size(m))*time.Second/time.Duration(h.link)
+				at = h.sending + simDelay
+			}
 			if s.delay > 0 {
 				at += time.Duration(s.rand.Int64N(int64(s.delay)))
 			}
@@ -271,9 +277,9 @@
 		s.watch(h)
 	}
 	for _, r := range c.out.chunks {
-		chunk, err := h.st.ReadChunk(r.id, r.offset, c.opt.ChunkBytes)
+		chunk, err := h.st.ReadChunk(r.id, r.offset, r.bytes)
 		if err != nil {
-			chunk, err = h.st.ReadChunk(h.st.Snapshot().GetId(), 0, c.opt.ChunkBytes)
+			chunk, err = h.st.ReadChunk(h.st.Snapshot().GetId(), 0, r.bytes)
 		}
 		if err != nil {
 			s.t.Fatalf("%s reads a chunk: %v", h.name, err)
--- a/internal/replog/succeed_test.go
+++ b/internal/replog/succeed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -283,3 +284,40 @@
 	s.tendFor(catchUp)
 	require.Equal(t, map[int]bool{3: true, 4: true}, seen)
 }
+
+// Guards against a successor whose catching up takes the whole of the leader's link, so
+// that its heartbeats come too late.
+func TestSuccessorCatchesUpOverASlowLink(t *testing.T) {
+	for _, how := range []string{"entries", "snapshot"} {
+		catchUpSlowly(t, how)
+	}
+}
+
+func catchUpSlowly(t *testing.T, how string) {
+	t.Helper()
+	s, a, _, c := newTrio(t)
+	value := strings.Repeat("x", 4000)
+	for range 150 {
+		s.write(a, value)
+		s.run(simTick)
+	}
+	if how == "snapshot" {
+		s.write(a, strings.Repeat(value, 150))
+		s.run(DefaultElection)
+		for _, h := range s.hosts {
+			h.core.opt.ChunkBytes = DefaultChunkBytes
+			s.snapshot(h)
+		}
+		require.Greater(t, a.core.log.base, uint64(10))
+	}
+	for _, h := range s.hosts {
+		h.link = 250_000 // 2 Mbit/s
+	}
+	term := a.core.state.term
+	s.crash(c)
+	s.tendFor(time.Second)
+	s.arrive("d").link = 250_000
+	s.tendFor(6 * time.Second)
+	require.Equal(t, []string{"a", "b", "d"}, s.voters())
+	require.Equal(t, term, s.leader().core.state.term, "the leader stays")
+}
