A member that has returned soon counts as a spare

A replica that was a member counts as a newcomer for twice the bound now, which is what a planned stop needs when its successor went elsewhere.

--- a/internal/jobctl/settings.go
+++ b/internal/jobctl/settings.go
@@ -99,6 +99,9 @@
 	// freshFactor is for how many times the bound a replica counts as one that has
 	// just come. A planned stop comes once the bound has passed.
 	freshFactor = 5
+	// returnedFactor is the same for one that was a member. It may have given way to
+	// the successor of another one, which is stopped once the bound has passed.
+	returnedFactor = 2
 	// spareAfter is how long a voter is silent before a spare takes its place. A
 	// restart with a full disk takes less, as do most freezes.
 	spareAfter = 8 * time.Second
@@ -110,6 +113,7 @@
 	return replog.SuccessionRule{
 		Silence:  min(max(bound/silenceShare, leastSilence), mostSilence),
 		Fresh:    freshFactor * bound,
+		Returned: returnedFactor * bound,
 		Patience: spareAfter,
 	}
 }
--- a/internal/replog/status.go
+++ b/internal/replog/status.go
@@ -77,7 +77,8 @@
 type Announced struct {
 	Name        string    `json:"name"`
 	Incarnation string    `json:"incarnation"`
-	Since       time.Time `json:"since"` // since when it has waited, zero for a spare
+	Formed      bool      `json:"formed"` // it has been a member
+	Since       time.Time `json:"since"`  // since when it has waited, zero for a spare
 	Heard       time.Time `json:"heard"`
 }
 
@@ -161,7 +162,7 @@
 	for name, a := range c.hello.announced {
 		_, member := c.members().get(a.incarnation)
 		if !member && c.now.Sub(a.heard) < c.opt.Election {
-			list = append(list, Announced{Name: name, Incarnation: a.incarnation, Since: a.since, Heard: a.heard})
+			list = append(list, Announced{Name: name, Incarnation: a.incarnation, Formed: a.formed, Since: a.since, Heard: a.heard})
 		}
 	}
 	slices.SortFunc(list, func(a, b Announced) int { return cmp.Compare(a.Name, b.Name) })
--- a/internal/replog/succeed.go
+++ b/internal/replog/succeed.go
@@ -19,11 +19,18 @@
 type SuccessionRule struct {
 	Silence  time.Duration // after which a replica that has just come takes its place
 	Fresh    time.Duration // for which a replica counts as one that has just come
+	Returned time.Duration // for which one that was a member does
 	Patience time.Duration // after which any other waiting replica takes its place
 }
 
 // fresh tells whether a replica has just come.
-func (r SuccessionRule) fresh(a Announced, now time.Time) bool { return now.Sub(a.Since) < r.Fresh }
+func (r SuccessionRule) fresh(a Announced, now time.Time) bool {
+	limit := r.Fresh
+	if a.Formed {
+		limit = r.Returned
+	}
+	return now.Sub(a.Since) < limit
+}
 
 // Successor returns what is to be done next, by a leader's status. Of several
 // voters the one that has been silent for longest goes first. One that is leaving
--- a/internal/replog/succeed_test.go
+++ b/internal/replog/succeed_test.go
@@ -44,7 +44,7 @@
 // catchUp is how long a successor counts as lost after its start.
 const catchUp = 4 * time.Second
 
-var testRule = SuccessionRule{Silence: time.Second, Fresh: 20 * time.Second, Patience: 8 * time.Second}
+var testRule = SuccessionRule{Silence: time.Second, Fresh: 20 * time.Second, Returned: 8 * time.Second, Patience: 8 * time.Second}
 
 // tend does what jobctl's leader does with the membership.
 func (s *sim) tend() {
@@ -232,6 +232,19 @@
 	require.Len(t, s.voters(), 5)
 }
 
+// Guards against a chain in which each frozen voter takes the place of the next one.
+func TestReturnedVoterSoonCountsAsASpare(t *testing.T) {
+	s := newFive(t)
+	s.arrive("f")
+	s.tendFor(time.Second)
+	for _, name := range []string{"b", "c", "d"} {
+		s.host(name).frozen = s.now + 3*time.Second
+		s.tendFor(15 * time.Second)
+	}
+	require.Equal(t, 1, s.replacements)
+	require.Equal(t, []string{"a", "c", "d", "e", "f"}, s.voters())
+}
+
 // Guards against spares of the first start, restarted ones, and restarted voters that
 // push out one voter after the other while all are restarted in turn.
 func TestRestartsInTurnReplaceNobody(t *testing.T) {
