--- a/internal/replog/hello.go
+++ b/internal/replog/hello.go
@@ -25,12 +25,18 @@
 	// extra are replicas to announce oneself to besides the initial voters,
 	// which may have left long ago.
 	extra []string
+	// waits is since when this replica has waited for a place that another one may
+	// have left to it; zero for a spare. followed tells that it has had a place since
+	// its start.
+	waits    time.Time
+	followed bool
 }
 
 // announcement is what a replica said of itself.
 type announcement struct {
 	incarnation string
 	formed      bool
+	since       time.Time // since when it has waited, zero for a spare
 	heard       time.Time
 }
 
@@ -44,6 +50,9 @@
 		// A folder that was just made has no earlier self.
 		vouched: c.boot == 1,
 	}
+	if c.boot == 1 && !c.opt.First && !c.formed() {
+		h.waits = c.now
+	}
 	if voters := c.members().voters(); len(voters) == 1 && voters[0].Incarnation == c.self {
 		h.vouched = true
 	}
@@ -78,17 +87,25 @@
 			c.sendHello(m)
 		}
 	}
-	if c.adrift() {
+	if c.adrift() && !c.leaving {
 		c.announce()
 	}
 }
 
 // announce tells whoever may know of the cluster that this replica is here.
 func (c *core) announce() {
+	if c.hello.followed {
+		c.hello.waits, c.hello.followed = c.now, false
+	}
 	to := make([]string, 0, len(c.opt.Voters)+len(c.hello.extra))
 	for _, p := range c.opt.Voters {
 		to = append(to, p.Name)
 	}
+	for _, m := range c.members() {
+		if !slices.Contains(to, m.Name) {
+			to = append(to, m.Name)
+		}
+	}
 	for _, name := range c.hello.extra {
 		if !slices.Contains(to, name) {
 			to = append(to, name)
@@ -99,11 +116,19 @@
 	}
 }
 
+// adriftAfter is for how many election times a voter goes without a leader
+// before it takes itself for removed. An election takes two of them.
+const adriftAfter = 3
+
 // adrift tells whether no leader seems to know this replica: it was removed,
-// or the entry that added it was lost with its leader.
+// or the entry that added it was lost with its leader. A voter that was out of
+// reach at its removal doesn't hold the entry that removed it.
 func (c *core) adrift() bool {
-	committed := c.history.at(c.commit).members
-	return !committed.isVoter(c.self) && !c.now.Before(c.promiseDeadline)
+	deadline := c.promiseDeadline
+	if c.history.at(c.commit).members.isVoter(c.self) {
+		deadline = deadline.Add((adriftAfter - 1) * c.opt.Election)
+	}
+	return !c.now.Before(deadline)
 }
 
 func (c *core) sendHello(to Member) {
@@ -112,13 +137,23 @@
 	}
 	m := c.message(wire.LogKind_LOG_KIND_HELLO, to)
 	m.Accepted, m.Index = c.durable.accepted, c.durable.index
+	m.Waited = c.waited()
 	c.send(m)
 }
 
+// waited returns for how many milliseconds this replica has waited for a place, and
+// one more, or 0 if it is a spare.
+func (c *core) waited() uint64 {
+	if c.hello.waits.IsZero() {
+		return 0
+	}
+	return uint64(c.now.Sub(c.hello.waits).Milliseconds()) + 1
+}
+
 func (c *core) stepHello(m *wire.LogMessage) {
 	c.noteAnnouncement(m)
 	r := c.reply(wire.LogKind_LOG_KIND_HELLO_REPLY, m)
-	r.Round = m.GetBoot()
+	r.Round, r.Waited = m.GetBoot(), c.waited()
 	mark, known := c.marks.marks[m.GetFromIncarnation()]
 	if known {
 		r.Marks = []*wire.LogMark{mark}
@@ -138,7 +173,11 @@
 }
 
 func (c *core) noteAnnouncement(m *wire.LogMessage) {
-	c.hello.announced[m.GetFrom()] = announcement{m.GetFromIncarnation(), m.GetFormed(), c.now}
+	a := announcement{incarnation: m.GetFromIncarnation(), formed: m.GetFormed(), heard: c.now}
+	if n := m.GetWaited(); n > 0 {
+		a.since = c.now.Add(-time.Duration(n-1) * time.Millisecond)
+	}
+	c.hello.announced[m.GetFrom()] = a
 }
 
 func (c *core) stepHelloReply(m *wire.LogMessage) {
