TestWideJob: commands have indexes of their own

All were applied at one index, so that jobs had one order and the test met them in any order: it failed 1 of 2 runs of the package.

--- a/internal/jobctl/control.go
+++ b/internal/jobctl/control.go
@@ -36,7 +36,7 @@
 	// retainEvery is how often links to addresses that nothing names are looked for. Two
 	// looks are far longer than a connection takes.
 	retainEvery = 10 * time.Second
-	leaveCheck     = 50 * time.Millisecond
+	leaveCheck  = 50 * time.Millisecond
 	// leaveSilence is how long a replica that is leaving goes without a leader before
 	// it takes itself for removed, or finds that nobody can replace it.
 	leaveSilence = 2 * time.Second
--- a/internal/jobctl/input_test.go
+++ b/internal/jobctl/input_test.go
@@ -27,11 +27,13 @@
 		env: &kern.Env{Boot: stopped(at), Clock: stopped(at), Log: zap.NewNop()},
 		cfg: &Settings{Remote: 3}, state: jobs.New(), meters: newMeters(tally.NoopScope),
 	}
+	index := uint64(0)
 	apply := func(cmd jobs.Command) {
+		index++
 		cmd.Term, cmd.NowMs = 1, at.UnixMilli()
 		data, err := jobs.Encode(cmd)
 		require.NoError(t, err)
-		res, ok := c.state.Apply(1, data).(jobs.Result)
+		res, ok := c.state.Apply(index, data).(jobs.Result)
 		require.True(t, ok)
 		require.NoError(t, res.Err)
 	}
