--- a/Makefile
+++ b/Makefile
@@ -38,11 +38,13 @@
 	$(GO) test -c -o $(BIN)/demo.test ./internal/e2e
 	cd internal/e2e && $(BIN)/demo.test -test.timeout 120s -test.run '^TestDemo$$' -bin $(BIN) -verbose
 
-SOAK ?= 12
+SOAK       ?= 12
+SOAK_HOSTS ?= 5
 
 .PHONY: soak
-soak: ## Plays SOAK fresh seeds of the fault soak; logs of those that fail go to bin/soak.
-	first=$$(date +%s); SOAK_LOGS=$(BIN)/soak $(GO) test -count=1 -timeout 60m -v -run TestSoak ./platform -soak.seeds $$first-$$((first+$(SOAK)-1))
+soak: ## Plays the kept seeds and SOAK fresh ones of both fault soaks, with SOAK_HOSTS workers; logs of failures go to bin/soak.
+	SOAK_LOGS=$(BIN)/soak $(GO) test -count=1 -timeout 60m -v -run '^TestSoak' ./platform -soak.seeds kept
+	first=$$(date +%s); SOAK_LOGS=$(BIN)/soak $(GO) test -count=1 -timeout 60m -v -run '^TestSoak' ./platform -soak.seeds $$first-$$((first+$(SOAK)-1)) -soak.hosts $(SOAK_HOSTS)
 
 .PHONY: gen
 gen: ## Generates protobuf code with the pinned generator.
