Failing test: a lost voter stays when its successor is replaced before it votes

core.replace gives the new learner only the incarnation of the learner that it replaces. That one leaves with its own "replaces", so nothing names the lost voter any more: the group keeps four voters, one of them gone for good, and bears no further loss.

--- /dev/null
+++ b/internal/replog/chain_test.go
@@ -0,0 +1,32 @@
+package replog
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestVoterLeavesThoughItsSuccessorWasReplacedBeforeItVoted(t *testing.T) {
+	s, a, _, c := newTrio(t)
+	first := c.incarnation
+	s.wipe(c)
+	s.run(DefaultElection)
+	_, err := a.core.replace(first, "c")
+	require.NoError(t, err)
+	s.wipe(c) // before it is caught up
+	s.run(DefaultElection)
+	var learner string
+	for _, m := range a.core.members() {
+		if m.Replaces == first {
+			learner = m.Incarnation
+		}
+	}
+	require.NotEmpty(t, learner, "it doesn't vote yet")
+	_, err = a.core.replace(learner, "c")
+	require.NoError(t, err)
+	s.run(time.Minute)
+	for _, m := range s.leader().core.members() {
+		require.NotEqual(t, first, m.Incarnation, "a voter whose disk was lost twice over still votes")
+	}
+}
