A learner that takes over another learner's repair takes over its voter

Cause: the new learner named the old one as what it replaces, and nothing named the lost voter any more. Change: replacing a learner is one entry, which takes it out and hands on what it replaces; learners are in no quorum. TestVoterLeavesThoughItsSuccessorWasReplacedBeforeItVoted: failed always, passes.

--- a/internal/replog/change.go
+++ b/internal/replog/change.go
@@ -37,6 +37,12 @@
 // replaces a member, it is promoted and the old one removed without further
 // request.
 func (c *core) addLearner(name, replaces string) (uint64, error) {
+	return c.addLearnerTo(c.members(), name, replaces)
+}
+
+// addLearnerTo does the same with a membership that may lack learners of the
+// present one: they are in no quorum.
+func (c *core) addLearnerTo(ms Members, name, replaces string) (uint64, error) {
 	if err := c.checkChange(); err != nil {
 		return 0, err
 	}
@@ -48,7 +54,7 @@
 		return 0, errors.Wrapf(ErrMember, "%q, incarnation %s", name, a.incarnation)
 	}
 	m := Member{Name: name, Incarnation: a.incarnation, Role: Learner, Replaces: replaces}
-	return c.proposeMembers(c.members().WithMember(m))
+	return c.proposeMembers(ms.WithMember(m))
 }
 
 func (c *core) replace(old, name string) (uint64, error) {
@@ -59,6 +65,10 @@
 	if err != nil {
 		return 0, err
 	}
+	if m.Role == Learner {
+		// The voter that it was to replace gives way to the new one.
+		return c.addLearnerTo(c.members().Without(m.Incarnation), name, m.Replaces)
+	}
 	return c.addLearner(name, m.Incarnation)
 }
 
