--- a/internal/jobctl/control.go
+++ b/internal/jobctl/control.go
@@ -244,7 +244,9 @@
 		g.Go(func() error { return kern.Every(ctx, helloCheck, c.announce) })
 		g.Go(func() error { return kern.Every(ctx, retainEvery, c.retain) })
 		watch := newQuorumWatch(c.env, c.meters)
-		g.Go(func() error { return kern.Every(ctx, quorumCheck, func() { watch.look(c.node.Status()) }) })
+		g.Go(func() error {
+			return kern.Every(ctx, quorumCheck, func() { watch.look(c.node.Status(), c.finder.Found()) })
+		})
 	}
 	err := g.Wait()
 	if c.store != nil {
--- a/internal/jobctl/quorum.go
+++ b/internal/jobctl/quorum.go
@@ -1,6 +1,7 @@
 package jobctl
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -35,7 +36,9 @@
 	return &quorumWatch{log: env.Log, clock: env.Boot, meters: m}
 }
 
-func (q *quorumWatch) look(st replog.Status) {
+// look takes note of a replica's status, and of whether the process has found a
+// leader: a spare isn't told who leads by the log.
+func (q *quorumWatch) look(st replog.Status, found bool) {
 	now := q.clock.Now()
 	var silent []string
 	for _, v := range st.Voters {
@@ -46,11 +49,12 @@
 	reached := len(st.Voters) - len(silent)
 	q.meters.voters.Update(float64(len(st.Voters)))
 	q.meters.reached.Update(float64(reached))
+	led := st.Leader != "" || found && !slices.ContainsFunc(st.Members, func(m replog.Member) bool { return m.Incarnation == st.Incarnation })
 	switch {
-	case st.Leader != "" && q.told:
+	case led && q.told:
 		q.log.Info("leader known again", zap.String("leader", st.Leader), zap.Uint64("term", st.Term), zap.Duration("after", now.Sub(q.since)))
 		q.since, q.told = time.Time{}, false
-	case st.Leader != "":
+	case led:
 		q.since = time.Time{}
 	case q.since.IsZero():
 		q.since, q.next = now, now.Add(leaderless)
