--- a/internal/contrl/contrl.go
+++ b/internal/contrl/contrl.go
@@ -89,8 +89,8 @@
 		c.plat = platf.New(cfg.Platform, &http.Client{})
 	}
 	id := wire.NewIdentity(env.Node, RoleName, env.Keys, uuid.NewString())
-	mux := c.methods()
 	c.trans = peers.New(env.Log)
+	mux := c.methods()
 	for name, addr := range cfg.Peers {
 		if name != c.name {
 			c.links[name] = wire.NewLink(addr, id, mux, env.Log, nil)
