Replacement of voters: after a suspension, beside spares, twice over, before its commit

TestThawedLeaderReplacesNobody, TestSuccessionOfStoppedVoters, TestSuccessorOfASuccessorTakesOverItsVoter and TestLeavingVoterStaysUntilItsSuccessorIsCommitted failed before (go test -run 'TestThawed|TestSuccess|TestLeavingVoterStays' ./internal/replog), pass.

--- a/internal/replog/change.go
+++ b/internal/replog/change.go
@@ -9,12 +9,13 @@
 // checkChange tells whether the membership may be changed now. One member
 // changes at a time, and only after the last change and an entry of the
 // leader's own term are committed: then any majority before the change meets
-// any majority after it.
+// any majority after it. Without its lease a leader may have been suspended, and
+// doesn't know whom it would have heard.
 func (c *core) checkChange() error {
 	if c.role != Leader {
 		return &NotLeaderError{Leader: c.leaderName()}
 	}
-	if !c.ready() || c.history.latest().index > c.commit {
+	if !c.ready() || !c.hasLease(c.now) || c.history.latest().index > c.commit {
 		return ErrChangePending
 	}
 	if c.full {
@@ -113,8 +114,14 @@
 	if !c.quorumReachable(rest) {
 		return 0, errors.Wrapf(ErrQuorum, "without %q", key)
 	}
+	_, inherited := rest.get(m.Replaces)
 	for _, r := range rest {
-		if r.Role == Voter && r.Replaces == m.Incarnation {
+		switch {
+		case r.Replaces != m.Incarnation:
+		case inherited:
+			// The voter that it was to replace gives way to its successor.
+			rest = rest.WithMember(r.WithReplaced(m.Replaces))
+		case r.Role == Voter:
 			rest = rest.WithMember(r.WithRepair(c.log.lastIndex() + 1))
 		}
 	}
--- a/internal/replog/member.go
+++ b/internal/replog/member.go
@@ -43,6 +43,12 @@
 	return m
 }
 
+// WithReplaced returns the member as the replacement of another incarnation.
+func (m Member) WithReplaced(inc string) Member {
+	m.Replaces = inc
+	return m
+}
+
 // WithRepair returns the member with its replacement completed at an index.
 func (m Member) WithRepair(index uint64) Member {
 	m.Replaces = ""
--- a/internal/replog/succeed.go
+++ b/internal/replog/succeed.go
@@ -39,15 +39,16 @@
 	var best Succession
 	found := false
 	for _, a := range st.Waiting {
-		if slices.ContainsFunc(st.Members, func(m Member) bool { return m.Name == a.Name }) {
-			continue // that member has lost its folder
+		if st.lostFolder(a) {
+			continue
 		}
-		limit := r.Patience
-		if r.fresh(a, now) {
+		fresh, limit := r.fresh(a, now), r.Patience
+		if fresh {
 			limit = r.Silence
 		}
 		for _, p := range st.Peers {
 			silent := now.Sub(p.Heard)
+			p.Leaving = p.Leaving && fresh // or it may be a restart
 			if !Members(st.Members).isVoter(p.Incarnation) || replaced(st.Members, p.Incarnation) || !p.Leaving && silent <= limit {
 				continue
 			}
@@ -59,10 +60,17 @@
 	return best, found
 }
 
+// lostFolder tells whether a waiting replica is a member that has lost its folder.
+func (s Status) lostFolder(a Announced) bool {
+	return slices.ContainsFunc(s.Members, func(m Member) bool { return m.Name == a.Name })
+}
+
 // Awaited tells a voter that has to stop whether a replica is there that is to take
 // its place.
 func (r SuccessionRule) Awaited(st Status, now time.Time) bool {
-	return Members(st.Members).isVoter(st.Incarnation) && slices.ContainsFunc(st.Waiting, func(a Announced) bool { return r.fresh(a, now) })
+	return Members(st.Members).isVoter(st.Incarnation) && slices.ContainsFunc(st.Waiting, func(a Announced) bool {
+		return r.fresh(a, now) && !st.lostFolder(a)
+	})
 }
 
 // Dropped returns a learner that stands in the way of another successor, because it
@@ -104,11 +112,11 @@
 
 // Succeeded tells whether another replica votes in this one's place. The leader sends
 // the entry that removes a member only to the others, so a member that knows its
-// successor and hears no leader is taken for removed.
+// successor's promotion to be committed and hears no leader is taken for removed.
 func (s Status) Succeeded() bool {
 	m, member := Members(s.Members).get(s.Incarnation)
 	if !member || m.Role != Voter {
 		return true
 	}
-	return s.Leader == "" && slices.ContainsFunc(s.Members, func(o Member) bool { return o.Replaces == s.Incarnation && o.Role == Voter })
+	return s.Leader == "" && s.MembersAt <= s.Commit && slices.ContainsFunc(s.Members, func(o Member) bool { return o.Replaces == s.Incarnation && o.Role == Voter })
 }
--- a/internal/replog/succeed_test.go
+++ b/internal/replog/succeed_test.go
@@ -334,3 +334,85 @@
 	require.Equal(t, []string{"a", "b", "d"}, s.voters())
 	require.Equal(t, term, s.leader().core.state.term, "the leader stays")
 }
+
+// A host that was suspended has heard nobody meanwhile, whoever spoke.
+func TestThawedLeaderReplacesNobody(t *testing.T) {
+	s, a, b, _ := newTrio(t)
+	s.arrive("d")
+	s.run(2 * DefaultElection)
+	for _, h := range s.hosts {
+		h.frozen = never
+	}
+	s.run(2 * testRule.Silence)
+	a.core.advance(s.local(a)) // it is thawed, and hasn't noticed
+	_, err := a.core.replace(b.incarnation, "d")
+	require.ErrorIs(t, err, ErrChangePending)
+}
+
+func TestSuccessorOfASuccessorTakesOverItsVoter(t *testing.T) {
+	s := newSim(t, 7, 5)
+	a := s.lead("a")
+	s.run(DefaultElection)
+	lost, d := s.host("b"), s.host("c")
+	d1 := d.incarnation
+	ms := Members{}
+	for _, m := range a.core.members() {
+		if m.Incarnation == d1 {
+			m.Replaces = lost.incarnation // it votes, and the lost one isn't removed yet
+		}
+		ms = append(ms, m)
+	}
+	s.wipe(d)
+	s.run(2 * DefaultElection)
+	ms = ms.WithMember(Member{Name: "c", Incarnation: d.incarnation, Role: Voter, Replaces: d1, Promoted: 1})
+	a.core.history = append(a.core.history, membersAt{a.core.commit, ms})
+	_, err := a.core.remove(d1)
+	require.NoError(t, err)
+	m, ok := a.core.members().get(d.incarnation)
+	require.True(t, ok)
+	require.Equal(t, lost.incarnation, m.Replaces)
+}
+
+func TestSuccessionOfStoppedVoters(t *testing.T) {
+	noon := time.Unix(1_000_000, 0)
+	members := []Member{{Name: "a", Incarnation: "a1", Role: Voter}, {Name: "b", Incarnation: "b1", Role: Voter}, {Name: "c", Incarnation: "c1", Role: Voter}}
+	spare := Announced{Name: "s", Incarnation: "s1", Heard: noon}
+	newcomer := Announced{Name: "n", Incarnation: "n1", Since: noon.Add(-time.Second), Heard: noon}
+	emptied := Announced{Name: "b", Incarnation: "b2", Since: noon, Heard: noon}
+	for _, c := range []struct {
+		name    string
+		waiting []Announced
+		by      string // takes the place of c, which is leaving
+		awaited bool   // c waits for it
+	}{
+		{"nobody waits", nil, "", false},
+		{"a spare isn't its successor", []Announced{spare}, "", false},
+		{"a newcomer is", []Announced{newcomer}, "n", true},
+		{"a newcomer goes before a spare", []Announced{spare, newcomer}, "n", true},
+		{"a folder that was lost waits for its own place", []Announced{emptied}, "", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			st := Status{Incarnation: "a1", Members: members, Waiting: c.waiting, Peers: []PeerStatus{
+				{Name: "b", Incarnation: "b1", Heard: noon}, {Name: "c", Incarnation: "c1", Heard: noon, Leaving: true},
+			}}
+			next, ok := testRule.Successor(st, noon)
+			require.Equal(t, c.by != "", ok)
+			require.Equal(t, c.by, next.By.Name)
+			st.Incarnation = "c1"
+			require.Equal(t, c.awaited, testRule.Awaited(st, noon))
+		})
+	}
+}
+
+func TestLeavingVoterStaysUntilItsSuccessorIsCommitted(t *testing.T) {
+	st := Status{
+		Incarnation: "c1", MembersAt: 9, Commit: 8,
+		Members: []Member{
+			{Name: "a", Incarnation: "a1", Role: Voter}, {Name: "b", Incarnation: "b1", Role: Voter},
+			{Name: "c", Incarnation: "c1", Role: Voter}, {Name: "d", Incarnation: "d1", Role: Voter, Replaces: "c1", Promoted: 9},
+		},
+	}
+	require.False(t, st.Succeeded(), "the leader may be lost before its promotion is committed")
+	st.Commit = 9
+	require.True(t, st.Succeeded())
+}
