--- a/internal/replog/succeed_test.go
+++ b/internal/replog/succeed_test.go
@@ -408,8 +408,10 @@
 	st := Status{
 		Incarnation: "c1", MembersAt: 9, Commit: 8,
 		Members: []Member{
-			{Name: "a", Incarnation: "a1", Role: Voter}, {Name: "b", Incarnation: "b1", Role: Voter},
-			{Name: "c", Incarnation: "c1", Role: Voter}, {Name: "d", Incarnation: "d1", Role: Voter, Replaces: "c1", Promoted: 9},
+			{Name: "a", Incarnation: "a1", Role: Voter},
+			{Name: "b", Incarnation: "b1", Role: Voter},
+			{Name: "c", Incarnation: "c1", Role: Voter},
+			{Name: "d", Incarnation: "d1", Role: Voter, Replaces: "c1", Promoted: 9},
 		},
 	}
 	require.False(t, st.Succeeded(), "the leader may be lost before its promotion is committed")
