An empty replica asks over its links too which replicas there are

Cause: only the finder asks, with a new connection and 350 ms for each try, and these ran out beside slow links ("handshake: read proof: EOF" 21 times in 3.5 s on the two); a link told what it knew and asked nothing while that was nothing. Change: a link exchanges what is known also when that is nothing, until it is something.

--- a/internal/jobctl/control.go
+++ b/internal/jobctl/control.go
@@ -181,14 +181,14 @@
 	return r
 }
 
-// tellReplicas tells another control process which replicas there are, at the
-// beginning of a session and after each change. One without a log learns it this
-// way, and can point others to them.
+// tellReplicas exchanges with another control process which replicas there are, at
+// the beginning of a session and after each change, and until this one knows of any.
+// One without a log learns it this way, and can point others to them.
 func (c *Control) tellReplicas(ctx context.Context, s *wire.Session) {
 	told, first := uint64(0), true
 	_ = kern.Every(ctx, tellCheck, func() {
 		r := c.finder.Replicas()
-		if len(r.Addrs) == 0 || !first && r.Index == told {
+		if !first && len(r.Addrs) > 0 && r.Index == told {
 			return
 		}
 		if err := c.finder.Tell(ctx, s); err != nil {
--- a/internal/jobctl/control_test.go
+++ b/internal/jobctl/control_test.go
@@ -385,3 +385,66 @@
 	stop()
 	require.NoError(t, g.Wait())
 }
+
+// lateListener hands connections on whose first read takes a while, as over a slow
+// link.
+type lateListener struct {
+	net.Listener
+	delay time.Duration
+}
+
+func (l lateListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &lateConn{Conn: c, ready: time.Now().Add(l.delay)}, nil
+}
+
+type lateConn struct {
+	net.Conn
+	ready time.Time
+}
+
+func (c *lateConn) Read(p []byte) (int, error) {
+	time.Sleep(time.Until(c.ready)) // the link's delay
+	return c.Conn.Read(p)
+}
+
+func TestEmptyReplicaLearnsOfTheOthersOverASlowLink(t *testing.T) {
+	own := freeAddr(t)
+	_, port, err := net.SplitHostPort(own)
+	require.NoError(t, err)
+	relay := net.JoinHostPort("127.0.0.3", port) // ports are the same everywhere
+	ln, err := net.Listen("tcp", relay)
+	require.NoError(t, err)
+	other := net.JoinHostPort("127.0.0.4", port)
+	mux := wire.NewMux(zap.NewNop())
+	wire.HandleCall(mux, wire.MethodLeader, func(context.Context, wire.Peer, *wire.LeaderRequest) (*wire.LeaderReply, error) {
+		return &wire.LeaderReply{Members: []string{other}, Index: 5}, nil
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	t.Cleanup(func() {
+		cancel()
+		_ = g.Wait()
+	})
+	e := env(relay)
+	g.Go(func() error {
+		id := wire.NewIdentity(e.Node, jobctl.RoleName, e.Keys, "1")
+		return wire.NewServer(id, mux, zap.NewNop(), nil).Serve(ctx, lateListener{ln, 500 * time.Millisecond})
+	})
+	c, err := jobctl.New(env(own), &jobctl.Settings{
+		Address: own, Desk: freeAddr(t), Seeds: []string{relay}, Data: t.TempDir(), Losses: 1,
+		HoldMs: 10000, ThawMs: 300, Remote: 3, StatusS: 120, StopMs: 400, RestoreM: 600, Catchup: 4,
+	})
+	require.NoError(t, err)
+	g.Go(func() error { return c.Run(ctx) })
+	s := &single{t: t, addr: own}
+	caller := s.dial("jobentry", "e1")
+	require.Eventually(t, func() bool {
+		rep := &wire.LeaderReply{}
+		require.NoError(t, caller.Call(ctx, wire.MethodLeader, &wire.LeaderRequest{}, rep))
+		return len(rep.Members) == 1 && rep.Members[0] == other
+	}, 3*time.Second, 10*time.Millisecond)
+}
