wire: blocked reads and writes end when the connection closes

Cause: yamux marks a session as closed, closes the connection and waits for its own goroutines before it closes the streams. Until then a blocked Read or Write polls the closed session without a pause; on one processor these goroutines don't run meanwhile. Change: the connection tells our session of its close, which interrupts all streams. Test: session_test.go; the three cases were still blocked after 5 s without the change.

--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -83,11 +83,10 @@
 	defer func() { _ = g.Wait() }()
 	defer cancel()
 	for {
-		muxStream, err := s.muxSession.AcceptStream()
+		st, err := s.acceptStream()
 		if err != nil {
 			return wrapClosed(err)
 		}
-		st := &Stream{Stream: muxStream, peer: s.peer}
 		g.Go(func() error {
 			m.serveStream(ctx, st)
 			return nil
@@ -100,7 +99,7 @@
 	_ = st.SetReadDeadline(time.Now().Add(callMessageTimeout))
 	var call Call
 	if err := ReadMessage(st, &call, MaxHandshakeBytes); err != nil {
-		m.log.Debug("stream without a valid call message", zap.String("peer", st.peer.Name), zap.Error(err))
+		m.log.Debug("stream without a valid call message", zap.String("peer", st.Peer().Name), zap.Error(err))
 		return
 	}
 	handler, ok := m.handlers[call.Method]
@@ -110,7 +109,7 @@
 	}
 	if err := handler(ctx, &call, st); err != nil && ctx.Err() == nil {
 		m.log.Debug("call ended with an error", zap.String("method", call.Method),
-			zap.String("id", call.Id), zap.String("peer", st.peer.Name), zap.Error(err))
+			zap.String("id", call.Id), zap.String("peer", st.Peer().Name), zap.Error(err))
 	}
 }
 
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,6 +39,10 @@
 type Session struct {
 	peer       Peer
 	muxSession *yamux.Session
+
+	mu      sync.Mutex
+	closing bool             // the connection is closed or being closed
+	streams map[*Stream]bool // open ones
 }
 
 func muxConfig() *yamux.Config {
@@ -83,12 +88,12 @@
 		return nil, errors.Wrap(err, "handshake")
 	}
 	_ = c.SetDeadline(time.Time{})
-	muxSession, err := newMuxSession(c, muxConfig())
-	if err != nil {
+	s := &Session{peer: peer, streams: map[*Stream]bool{}}
+	if s.muxSession, err = newMuxSession(&notifyingConn{Conn: c, onClose: s.unblockStreams}, muxConfig()); err != nil {
 		_ = c.Close()
 		return nil, errors.Wrap(err, "start session")
 	}
-	return &Session{peer: peer, muxSession: muxSession}, nil
+	return s, nil
 }
 
 // Peer returns the peer at the other end.
@@ -113,7 +118,47 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = muxStream.SetDeadline(deadline)
 	}
-	return &Stream{Stream: muxStream, peer: s.peer}, nil
+	return s.newStream(muxStream), nil
+}
+
+// newStream returns a stream of the session and keeps track of it until it is closed.
+func (s *Session) newStream(muxStream *yamux.Stream) *Stream {
+	st := &Stream{Stream: muxStream, session: s}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.streams[st] = true
+	if s.closing {
+		st.interrupt()
+	}
+	return st
+}
+
+// acceptStream returns the next stream that the peer opens.
+func (s *Session) acceptStream() (*Stream, error) {
+	muxStream, err := s.muxSession.AcceptStream()
+	if err != nil {
+		return nil, err
+	}
+	return s.newStream(muxStream), nil
+}
+
+// forgetStream removes a closed stream.
+func (s *Session) forgetStream(st *Stream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.streams, st)
+}
+
+// unblockStreams ends all blocked reads and writes. yamux closes the streams only after its
+// goroutines have ended; until then, a blocked call polls the closed session without a pause,
+// which on a single processor keeps these goroutines from running.
+func (s *Session) unblockStreams() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closing = true
+	for st := range s.streams {
+		st.interrupt()
+	}
 }
 
 // OpenCall opens a stream for a call of method and sends the call's first
@@ -130,16 +175,6 @@
 	return st, nil
 }
 
-// BeginCall sends the Call message, which names the method that the stream is
-// for, and the call's first messages.
-func (st *Stream) BeginCall(ctx context.Context, method, id string, messages ...proto.Message) error {
-	call := &Call{Method: method, Id: id}
-	if deadline, ok := ctx.Deadline(); ok {
-		call.Remainms = remainingMs(deadline)
-	}
-	return st.Send(append([]proto.Message{call}, messages...)...)
-}
-
 func remainingMs(deadline time.Time) uint32 {
 	ms := time.Until(deadline).Milliseconds()
 	if ms < 1 {
@@ -163,42 +198,6 @@
 	return nil
 }
 
-// Stream carries the messages of one call.
-type Stream struct {
-	*yamux.Stream
-	peer Peer
-}
-
-// Peer returns the peer at the other end.
-func (st *Stream) Peer() Peer { return st.peer }
-
-// Send writes the messages with a single Write.
-func (st *Stream) Send(messages ...proto.Message) error { return WriteMessages(st.Stream, messages...) }
-
-// Recv reads one message into m.
-func (st *Stream) Recv(m proto.Message) error { return ReadMessage(st.Stream, m, MaxFrameBytes) }
-
-// Reset closes the stream at once and interrupts pending reads and writes. A
-// peer that still reads gets an error or the end of the stream.
-func (st *Stream) Reset() {
-	_ = st.SetDeadline(time.Unix(1, 0))
-	_ = st.Close()
-}
-
-func (st *Stream) readReply(resp proto.Message) error {
-	var reply Reply
-	if err := st.Recv(&reply); err != nil {
-		return wrapClosed(err)
-	}
-	if reply.Code != "" {
-		return &RemoteError{Code: reply.Code, Text: reply.Text, Leader: reply.Leader}
-	}
-	if err := st.Recv(resp); err != nil {
-		return wrapClosed(err)
-	}
-	return nil
-}
-
 // RemoteError is an error that the called peer returned. It matches ErrRemote
 // and, with CodeNotLeader, ErrNotLeader.
 type RemoteError struct {
