allot: time until a gang fits is counted in one pass

What callers saw: at 240 workers urgent jobs waited for the leader's plans. Change: only the room of the worker on which a run ends is counted again.

--- a/internal/allot/play/scenario.go
+++ b/internal/allot/play/scenario.go
@@ -150,6 +150,13 @@
 	{"batch", 2, 0.24, 44, 230, 2800, 8200, []int64{1}, 8100 * time.Millisecond, 0.3, 0, 0, 0.45, 0, 3, 3 * time.Second, 1, 0.5, 0.5, 4, 0.02},
 }
 
+// largeLinenRotaClasses are the job classes of the linen rota deployment at 240 workers.
+var largeLinenRotaClasses = []jobClass{
+	{"render", 1, 0.688, 25, 150, 13000, 68000, []int64{1, 2, 4, 8, 8}, 7200 * time.Millisecond, 0.3, 1, 0.6, 0.45, 0, 3, time.Second, 3, 1.5, 0.9, 5, 0.02},
+	{"confirm", 0, 3.75, 7.6, 46, 3700, 11000, []int64{1, 2, 4, 8, 8}, 2100 * time.Millisecond, 0.5, 1, 0.8, 0, 0, 1.5, 250 * time.Millisecond, 4, 0.8, 0.2, 0, 0.05},
+	{"batch", 2, 0.646, 101, 470, 2800, 11000, []int64{1}, 6500 * time.Millisecond, 0.3, 0, 0, 0.45, 0, 3, 3 * time.Second, 1, 0.5, 0.9, 7, 0.005},
+}
+
 // LoadConfig holds the parameters of Generate.
 type LoadConfig struct {
 	Hosts         int             // number of hosts, with one worker each
@@ -163,6 +170,7 @@
 	LeaderChanges []time.Duration // times at which another leader takes over
 	SlowPeriods   bool            // a fifth of the workers become slow for a while, twice
 	LostWorkCost  float64         // cost of a lost core-second, in units of value
+	StopDelay     time.Duration   // time that a run takes to end after it was told to
 	classes       []jobClass
 }
 
@@ -171,7 +179,7 @@
 func SmallLinenRota(hosts int, duration time.Duration, rateFactor float64) LoadConfig {
 	return LoadConfig{
 		Hosts: hosts, HostsPerRack: 3, Memory: 131072, Teams: 4, Speeds: []float64{0.6, 1, 1.6}, BurstFactor: 2.3, Duration: duration,
-		RateFactor: rateFactor * float64(hosts) / 11, LostWorkCost: 0.0033, classes: smallLinenRotaClasses,
+		RateFactor: rateFactor * float64(hosts) / 11, LostWorkCost: 0.0033, StopDelay: 300 * time.Millisecond, classes: smallLinenRotaClasses,
 	}
 }
 
@@ -179,7 +187,7 @@
 func BirdTable(rateFactor float64) LoadConfig {
 	return LoadConfig{
 		Hosts: 62, HostsPerRack: 7, Memory: 65536, Teams: 10, Speeds: []float64{0.6, 1, 1.6}, BurstFactor: 2.3, Duration: 34 * time.Second,
-		RateFactor: rateFactor, LostWorkCost: 0.0011, classes: birdTableClasses,
+		RateFactor: rateFactor, LostWorkCost: 0.0011, StopDelay: 300 * time.Millisecond, classes: birdTableClasses,
 	}
 }
 
@@ -187,7 +195,15 @@
 func LinenRota(rateFactor float64) LoadConfig {
 	return LoadConfig{
 		Hosts: 54, HostsPerRack: 8, Memory: 131072, Teams: 10, Speeds: []float64{0.55, 1.2, 1.2, 1.2}, BurstFactor: 2.3, Duration: 34 * time.Second,
-		RateFactor: rateFactor, LostWorkCost: 0.0012, classes: linenRotaClasses,
+		RateFactor: rateFactor, LostWorkCost: 0.0012, StopDelay: 300 * time.Millisecond, classes: linenRotaClasses,
+	}
+}
+
+// LargeLinenRota returns the load of the linen rota deployment at 240 workers.
+func LargeLinenRota(rateFactor float64) LoadConfig {
+	return LoadConfig{
+		Hosts: 240, HostsPerRack: 20, Memory: 131072, Teams: 24, Speeds: []float64{0.55, 1.2, 1.2, 1.2}, BurstFactor: 2.3, Duration: 34 * time.Second,
+		RateFactor: rateFactor, LostWorkCost: 0.00079, StopDelay: 700 * time.Millisecond, classes: largeLinenRotaClasses,
 	}
 }
 
@@ -212,7 +228,7 @@
 // third of the time span.
 func Generate(seed uint64, cfg LoadConfig) Scenario {
 	rng := rand.New(rand.NewPCG(seed, 1))
-	s := Scenario{Workers: cfg.newWorkers(), Speeds: map[jobs.Worker]float64{}, Guarantees: map[string]int64{}, RemoteFactor: 3, LostWorkCost: cfg.LostWorkCost, StopDelay: 300 * time.Millisecond, LeaderChanges: cfg.LeaderChanges}
+	s := Scenario{Workers: cfg.newWorkers(), Speeds: map[jobs.Worker]float64{}, Guarantees: map[string]int64{}, RemoteFactor: 3, LostWorkCost: cfg.LostWorkCost, StopDelay: cfg.StopDelay, LeaderChanges: cfg.LeaderChanges}
 	for _, w := range s.Workers {
 		s.Speeds[w.ID] = cfg.Speeds[rng.IntN(len(cfg.Speeds))]
 	}
--- a/internal/allot/wait.go
+++ b/internal/allot/wait.go
@@ -14,34 +14,36 @@
 		slot      int
 		resources Resources
 	}
+	type room struct {
+		free            Resources
+		limit, capacity int // most tasks that may be placed on the slot, and how many of these fit
+	}
 	var ends []end
-	free := map[int]Resources{}
+	rooms := make([]room, len(p.slots))
+	total := 0 // sum of all capacities
 	for i := range p.slots {
 		s := &p.slots[i]
 		if !step.allowed(s.worker) || (rack != "" && s.worker.Rack != rack) {
 			continue
 		}
-		free[i] = s.available()
-		for _, r := range s.worker.Runs {
-			if !r.LongRunning {
-				ends = append(ends, end{r.Remaining, i, r.Resources})
-			}
-		}
-	}
-	fits := func() bool {
-		remaining := tasks
-		for i, f := range free {
-			remaining -= f.CapacityFor(step.Resources, min(remaining, step.limit(p.slots[i].worker)))
-			if remaining <= 0 {
-				return true
+		r := &rooms[i]
+		r.free, r.limit = s.available(), min(tasks, step.limit(s.worker))
+		r.capacity = r.free.CapacityFor(step.Resources, r.limit)
+		total += r.capacity
+		for k := range s.worker.Runs {
+			if run := &s.worker.Runs[k]; !run.LongRunning {
+				ends = append(ends, end{run.Remaining, i, run.Resources})
 			}
 		}
-		return false
 	}
 	slices.SortFunc(ends, func(a, b end) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.slot, b.slot)) })
 	for _, e := range ends {
-		free[e.slot] = free[e.slot].Plus(e.resources)
-		if fits() {
+		r := &rooms[e.slot]
+		r.free = r.free.Plus(e.resources)
+		capacity := r.free.CapacityFor(step.Resources, r.limit)
+		total += capacity - r.capacity
+		r.capacity = capacity
+		if total >= tasks {
 			return e.at, true
 		}
 	}
