jobagt, jobctl: agents renew leases through a short partition

What callers saw: on the large deployment (hold_max_ms 6,000) a partition of 5.5 to 6 s of a sixth to a quarter of the worker hosts ended all runs there, and the gangs that had a member there. Cause: a lease was four fifths of the renewal timeout, counted from a report to the leader. The agent, who talks to its worker all the time, renews the worker's lease in steps of four fifths of the renewal timeout, up to the end of the grant. Found on the way: an order to start that the worker had left unanswered was sent again under a later grant; the leader may have started the run elsewhere by then. An order keeps the grant it came with.

--- a/internal/jobagt/agent.go
+++ b/internal/jobagt/agent.go
@@ -46,6 +46,7 @@
 	exitReported bool         // the announced worker has reported that it exits now
 	state        workerState
 	term         uint64        // highest term of a leader that sent orders
+	startedAt    time.Time     // of this process
 	reportDue    chan struct{} // closed when a report to the leader is due
 	holdDue      chan struct{} // receives a value when a hold is due before its time
 }
@@ -61,7 +62,9 @@
 	refusedSince time.Time // time of the first refusal
 	lastListing  Listing   // the last one
 	listingCount uint64    // listings received
-	leaseEnd     int64     // end of the lease on the worker's clock, in milliseconds
+	listedAt     time.Time // when the last listing arrived
+	grantEnd     int64     // until when the leader lets the lease be renewed, on the worker's clock in milliseconds
+	leaseEnd     int64     // latest end of the lease that was sent to the worker, on its clock in milliseconds
 	recordedEnds uint64    // run ends up to this number are recorded by the leader
 	runs         map[runKey]*pendingRun
 	goneRuns     []*wire.RunGone // not yet reported on the current stream
@@ -81,7 +84,7 @@
 	}
 	id := wire.NewIdentity(env.Node, RoleName, env.Keys, uuid.NewString())
 	a := &Agent{
-		env: env, cfg: cfg, platform: p, worker: p.Worker(cfg.Worker), log: env.Log,
+		env: env, cfg: cfg, platform: p, worker: p.Worker(cfg.Worker), log: env.Log, startedAt: env.BootClock.Now(),
 		reportDue: make(chan struct{}), holdDue: make(chan struct{}, 1),
 	}
 	a.finder = seek.New(id, jobctl.WithPort(cfg.Seeds, cfg.Port), env.Log, a.serveLeader)
@@ -134,11 +137,12 @@
 		Listed bool         `json:"listed"`
 		Lost   bool         `json:"lost"`
 		Lease  int64        `json:"lease"`
+		Grant  int64        `json:"grant"`
 		Seen   uint64       `json:"seen"`
 		Runs   int          `json:"runs"`
 		Term   uint64       `json:"term"`
 		Leader bool         `json:"leader"`
-	}{a.announced, a.state.worker, a.state.listed, a.state.lost, a.state.leaseEnd, a.state.recordedEnds, len(a.state.runs), a.term, a.finder.HasSession()}
+	}{a.announced, a.state.worker, a.state.listed, a.state.lost, a.state.leaseEnd, a.state.grantEnd, a.state.recordedEnds, len(a.state.runs), a.term, a.finder.HasSession()}
 }
 
 // triggerReport makes a report to the leader due now. The caller holds a.mu.
--- a/internal/jobagt/agent_test.go
+++ b/internal/jobagt/agent_test.go
@@ -31,15 +31,17 @@
 	startAnswers []any // StartResult or error for each start; the last one is repeated
 	stopErr      error
 	received     []string
+	lastStart    StartOrder
 }
 
 func (w *fakeWorker) Hold(context.Context, jobs.Worker, HoldOrder) (Listing, error) {
 	return Listing{}, errNoAnswer
 }
 
-func (w *fakeWorker) Start(_ context.Context, _ jobs.Worker, _ StartOrder) (StartResult, error) {
+func (w *fakeWorker) Start(_ context.Context, _ jobs.Worker, o StartOrder) (StartResult, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.lastStart = o
 	w.received = append(w.received, "start")
 	next := w.startAnswers[0]
 	if len(w.startAnswers) > 1 {
@@ -103,7 +105,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	clk := &fakeClock{now: time.Unix(100, 0)}
 	a := &Agent{
-		env: &kern.Env{BootClock: clk}, worker: w, log: zap.NewNop(), group: g, ctx: ctx,
+		env: &kern.Env{BootClock: clk}, cfg: &Settings{RenewalTimeoutMs: 5000, ExpiryDelayMs: 300}, startedAt: clk.now.Add(-time.Minute), worker: w, log: zap.NewNop(), group: g, ctx: ctx,
 		reportDue: make(chan struct{}), holdDue: make(chan struct{}, 1),
 	}
 	t.Cleanup(func() {
@@ -217,6 +219,7 @@
 	restarted := jobs.Worker{Name: "w", StartedMs: 5}
 	a.receiveListing(Listing{Worker: restarted, ClockMs: 3})
 	require.Equal(t, restarted, a.state.worker)
+	require.Zero(t, a.state.grantEnd)
 	require.Zero(t, a.state.leaseEnd)
 	require.False(t, a.buildReport().Listed, "the restarted worker has not announced itself")
 	a.Announce(Announcement{Worker: restarted, Seq: 1})
@@ -234,6 +237,7 @@
 
 func TestOnlyWorkerThatReportedExitIsLost(t *testing.T) {
 	a, clk := newTestAgent(t, &fakeWorker{})
+	a.renew()
 	miss := func(err error) bool {
 		a.mu.Lock()
 		defer a.mu.Unlock()
@@ -242,7 +246,7 @@
 	}
 	for range 5 {
 		require.False(t, miss(ErrNoListener), "the worker may be unreachable only; its lease has to end first")
-		clk.advance(time.Second)
+		clk.advance(500 * time.Millisecond)
 	}
 	require.Zero(t, a.buildReport().Clock, "the lease of a worker that doesn't answer must not be extended")
 	require.False(t, a.buildReport().Listed, "the worker must get no new runs")
--- a/internal/jobagt/hold.go
+++ b/internal/jobagt/hold.go
@@ -17,6 +17,8 @@
 	holdWait = 400 * time.Millisecond
 	// holdTimeout is how long an answer may take beyond holdWait.
 	holdTimeout = time.Second
+	// minHoldTimeout is the least time for an answer. Workers answer in a few milliseconds.
+	minHoldTimeout = 50 * time.Millisecond
 	// holdPause is the pause between two holds. A worker answers at once while
 	// it has run ends that aren't committed yet; without a pause the agent
 	// would send holds continuously.
@@ -65,15 +67,16 @@
 	a.mu.Lock()
 	h := HoldOrder{Term: a.term, WaitMs: holdWait.Milliseconds()}
 	if a.state.worker == worker {
-		h.LeaseEnd, h.RecordedEnds = a.state.leaseEnd, a.state.recordedEnds
+		h.LeaseEnd, h.RecordedEnds = a.renewLease(), a.state.recordedEnds
 		if !a.state.listed || len(a.state.lastListing.Ends) > 0 && a.state.lastListing.Ends[len(a.state.lastListing.Ends)-1].Number <= h.RecordedEnds || a.state.awaitsListing() {
 			h.WaitMs = 0
 		}
 	} else {
 		h.WaitMs = 0
 	}
+	timeout := a.holdTimeout()
 	a.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, holdWait+holdTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	listing, err := a.worker.Hold(ctx, worker, h)
 	a.mu.Lock()
@@ -86,6 +89,16 @@
 	return true
 }
 
+// holdTimeout returns how long the next hold may take. If the worker's lease ends for certain
+// before, the hold takes only until then. The caller holds a.mu.
+func (a *Agent) holdTimeout() time.Duration {
+	timeout := holdWait + holdTimeout
+	if ended, ok := a.leaseCertainlyEnded(); ok && a.state.misses > 0 && !a.state.lost {
+		timeout = min(timeout, max(minHoldTimeout, ended.Sub(a.env.BootClock.Now())))
+	}
+	return timeout
+}
+
 // holdFailed handles a hold without an answer. The caller holds a.mu.
 func (a *Agent) holdFailed(worker jobs.Worker, err error) {
 	a.log.Debug("worker did not answer", zap.String("worker", worker.Name), zap.Error(err))
@@ -101,9 +114,17 @@
 			a.triggerReport()
 		}
 	}()
+	now := a.env.BootClock.Now()
+	if ended, ok := a.leaseCertainlyEnded(); ok && !now.Before(ended) {
+		state.lost = true
+		a.log.Warn("worker's lease has ended without an answer", zap.String("worker", worker.Name), zap.Int64("born", worker.StartedMs),
+			zap.Int("runs", len(state.runs)), zap.Duration("silent", now.Sub(state.listedAt)))
+		a.endLease()
+		a.triggerReport()
+		return
+	}
 	switch {
 	case errors.Is(err, ErrNoListener):
-		now := a.env.BootClock.Now()
 		if state.refusals == 0 {
 			state.refusedSince = now
 			a.log.Warn("worker does not listen", zap.String("worker", worker.Name), zap.Bool("left", a.exitReported))
@@ -141,7 +162,7 @@
 	becameUsable := !state.usable()
 	newEnds := len(listing.Ends) > 0 && (len(state.lastListing.Ends) == 0 || listing.Ends[len(listing.Ends)-1].Number > state.lastListing.Ends[len(state.lastListing.Ends)-1].Number)
 	state.listed, state.misses, state.refusals, state.lost = true, 0, 0, false
-	state.lastListing = listing
+	state.lastListing, state.listedAt = listing, a.env.BootClock.Now()
 	state.listingCount++
 	dropped := state.dropStopped(a.log)
 	if becameUsable || newEnds || dropped {
--- /dev/null
+++ b/internal/jobagt/lease.go
@@ -0,0 +1,42 @@
+package jobagt
+
+import "time"
+
+// renewLease returns the end of the lease that an order to the worker carries, and records it. It
+// is the end of the grant at most. For a worker that doesn't answer it is the same as in earlier
+// orders, so that the lease ends at a time that is known. The caller holds a.mu.
+func (a *Agent) renewLease() int64 {
+	state := &a.state
+	if state.listed && state.misses == 0 {
+		clockMs := state.lastListing.ClockMs + a.env.BootClock.Now().Sub(state.listedAt).Milliseconds()
+		state.leaseEnd = max(state.leaseEnd, min(state.grantEnd, clockMs+a.cfg.leaseTerms().Renewal().Milliseconds()))
+	}
+	return state.leaseEnd
+}
+
+// leaseCertainlyEnded returns when the worker's lease has ended for certain if the worker doesn't
+// answer, false if that isn't known. The caller holds a.mu.
+func (a *Agent) leaseCertainlyEnded() (time.Time, bool) {
+	state := &a.state
+	if !state.listed {
+		return time.Time{}, false
+	}
+	terms := a.cfg.leaseTerms()
+	lease := max(0, time.Duration(state.leaseEnd-state.lastListing.ClockMs)*time.Millisecond)
+	ended := terms.CertainEnd(state.listedAt, lease)
+	// An earlier process of this agent may have sent any lease up to its last grant.
+	if predecessorEnded := terms.CertainEnd(a.startedAt, terms.Grant()); predecessorEnded.After(ended) {
+		return predecessorEnded, true
+	}
+	return ended, true
+}
+
+// endLease handles the end of the lease of a worker that doesn't answer. The runs on it have
+// ended, and orders that it hasn't answered must not start any when it answers again. The caller
+// holds a.mu.
+func (a *Agent) endLease() {
+	for k, r := range a.state.runs {
+		r.reason, r.startInDoubt, r.stopWanted = "the worker's lease ended", true, true
+		a.executeAsync(a.ctx, k, r)
+	}
+}
--- a/internal/jobagt/run.go
+++ b/internal/jobagt/run.go
@@ -20,6 +20,9 @@
 // pendingRun is a run for which the leader has sent an order.
 type pendingRun struct {
 	order StartOrder
+	// grantEnd is the end of the leader's grant when the leader last ordered the start. The start
+	// must not use a later grant: the leader may have taken the run for lost in between.
+	grantEnd int64
 	// startInDoubt is set when an order to start may still reach the worker.
 	// The run must then be stopped before it may be reported as gone.
 	startInDoubt   bool
@@ -102,7 +105,7 @@
 	if state.worker != (jobs.Worker{Name: orders.Worker, StartedMs: orders.Born}) {
 		return
 	}
-	state.leaseEnd = max(state.leaseEnd, orders.Lease)
+	state.grantEnd = max(state.grantEnd, orders.Lease)
 	if orders.Seen > state.recordedEnds {
 		state.recordedEnds = orders.Seen
 		for k := range state.runs {
@@ -125,6 +128,7 @@
 	for _, start := range orders.Starts {
 		k := runKey{start.Task, int(start.Run)}
 		if r, ok := state.runs[k]; ok {
+			r.grantEnd = state.grantEnd
 			// The leader repeats the order for a run that the worker has
 			// confirmed but no longer lists.
 			if r.startConfirmed && !r.stopWanted && !state.lists(k) {
@@ -133,7 +137,7 @@
 			}
 			continue
 		}
-		r := &pendingRun{order: StartOrder{Task: start.Task, Run: int(start.Run), Spec: start.Spec, Checkpoint: start.Saved}, startInDoubt: !start.Fresh}
+		r := &pendingRun{order: StartOrder{Task: start.Task, Run: int(start.Run), Spec: start.Spec, Checkpoint: start.Saved}, grantEnd: state.grantEnd, startInDoubt: !start.Fresh}
 		state.runs[k] = r
 		a.executeAsync(ctx, k, r)
 	}
@@ -190,7 +194,10 @@
 	a.mu.Lock()
 	term, stop := a.term, r.stopWanted
 	start := r.order
-	start.Term, start.LeaseEnd = term, a.state.leaseEnd
+	start.Term = term
+	if !stop {
+		start.LeaseEnd = min(r.grantEnd, a.renewLease())
+	}
 	draining := a.announced.Draining || a.announced.Worker != worker
 	a.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
--- a/internal/jobagt/settings.go
+++ b/internal/jobagt/settings.go
@@ -1,6 +1,9 @@
 package jobagt
 
 import (
+	"time"
+
+	"github.com/knapweedlug/knapweedlug/internal/jobctl"
 	"github.com/knapweedlug/knapweedlug/internal/kern"
 )
 
@@ -13,6 +16,17 @@
 	Worker string   `json:"worker" validate:"ipport" help:"IP:port at which the worker beside this process takes orders"`
 	Seeds  []string `json:"seeds" validate:"min=1,dive,ipport" help:"operators' addresses of some control processes; only the hosts are used, with port"`
 	Port   uint16   `json:"port" validate:"min=1" help:"port on which control processes take connections"`
+
+	RenewalTimeoutMs int64 `json:"hold" validate:"min=1000" help:"maximum time in milliseconds for which the worker continues runs without a lease renewal, as in the settings of jobctl"`
+	ExpiryDelayMs    int64 `json:"thaw" validate:"min=0" help:"maximum time in milliseconds for the worker to notice that a lease has ended, as in the settings of jobctl"`
+}
+
+// leaseTerms returns the terms for the worker's lease.
+func (s *Settings) leaseTerms() jobctl.LeaseTerms {
+	return jobctl.LeaseTerms{
+		RenewalTimeout: time.Duration(s.RenewalTimeoutMs) * time.Millisecond,
+		ExpiryDelay:    time.Duration(s.ExpiryDelayMs) * time.Millisecond,
+	}
 }
 
 // Validate implements kern.Settings.
@@ -27,7 +41,7 @@
 
 // Defaults implements kern.Role.
 func (role) Defaults() kern.Settings {
-	return &Settings{Listen: "127.0.0.1:7520", Worker: "127.0.0.1:7521", Port: 7500}
+	return &Settings{Listen: "127.0.0.1:7520", Worker: "127.0.0.1:7521", Port: 7500, RenewalTimeoutMs: 10000, ExpiryDelayMs: 300}
 }
 
 // New implements kern.Role.
--- a/internal/jobctl/hosts.go
+++ b/internal/jobctl/hosts.go
@@ -178,7 +178,7 @@
 	answer := &wire.HostOrders{} // sent even without a lease: an agent looks for another leader if this one is silent
 	if extendLease {
 		l.leaseEnds[h.worker] = l.c.cfg.leaseEnd(now)
-		answer.Lease = report.Clock + l.c.cfg.leaseMs()
+		answer.Lease = report.Clock + l.c.cfg.leaseTerms().Grant().Milliseconds()
 	}
 	l.queueOrders(h, answer)
 	return nil
--- a/internal/jobctl/settings.go
+++ b/internal/jobctl/settings.go
@@ -25,7 +25,7 @@
 	MaxLosses       int      `json:"losses" validate:"min=0,max=4" help:"control processes that may be lost at the same time together with their data; the number of voters is twice this plus one"`
 
 	CatchupSeconds   float64 `json:"catchup" validate:"min=0" help:"seconds after its start within which a new replica has to have replaced a lost one; 0 means no limit"`
-	RenewalTimeoutMs int64   `json:"hold" validate:"min=1000" help:"maximum time in milliseconds for which a worker continues runs without a lease renewal; leases last four fifths of it"`
+	RenewalTimeoutMs int64   `json:"hold" validate:"min=1000" help:"maximum time in milliseconds for which a worker continues runs without a lease renewal"`
 	ExpiryDelayMs    int64   `json:"thaw" validate:"min=0" help:"maximum time in milliseconds for a worker to notice that a lease has ended"`
 	RemoteFactor     float64 `json:"remote" validate:"min=1" help:"factor by which tasks are slower away from their data or spread over racks"`
 	StatusRetentionS int64   `json:"status" validate:"min=1" help:"seconds after its end for which the status of a job can be read"`
@@ -122,22 +122,17 @@
 	}
 }
 
-// maxClockDrift is the maximum rate error of a worker's clock, as specified by the platform.
-const maxClockDrift = 0.02
-
-// leaseMargin covers the timer delays on both sides, for which no limit is specified.
-const leaseMargin = 200 * time.Millisecond
-
-// leaseMs returns the duration of a lease. The rest of the time for which a worker
-// continues runs allows for a slow clock and for the age of its last clock reading.
-func (s *Settings) leaseMs() int64 { return s.RenewalTimeoutMs * 4 / 5 }
+// leaseTerms returns the terms for the leases of workers.
+func (s *Settings) leaseTerms() LeaseTerms {
+	return LeaseTerms{
+		RenewalTimeout: time.Duration(s.RenewalTimeoutMs) * time.Millisecond,
+		ExpiryDelay:    time.Duration(s.ExpiryDelayMs) * time.Millisecond,
+	}
+}
 
-// leaseEnd returns when a lease granted at a given time has ended for certain, even if
-// the worker's clock is slow.
+// leaseEnd returns when a lease granted at a given time has ended for certain.
 func (s *Settings) leaseEnd(granted time.Time) time.Time {
-	lease := time.Duration(s.leaseMs()) * time.Millisecond
-	lease = time.Duration(float64(lease) / (1 - maxClockDrift))
-	return granted.Add(lease + time.Duration(s.ExpiryDelayMs)*time.Millisecond + leaseMargin)
+	return s.leaseTerms().CertainEnd(granted, s.leaseTerms().Grant())
 }
 
 // role registers the package's role with kern.
