--- a/internal/allot/gang.go
+++ b/internal/allot/gang.go
@@ -85,6 +85,13 @@
 		p.claim(step, best.placement)
 	case WaitsForClaim:
 		p.claim(step, best.placement)
+	case Waits, WaitsForBetter:
+		if hasClaim {
+			// The runs there are stopping already. Without the claim, the next plan would stop others.
+			p.claim(step, claim)
+			break
+		}
+		p.reserveForWaitingGang(step, best.rack)
 	default:
 		p.reserveForWaitingGang(step, best.rack)
 	}
@@ -236,11 +243,15 @@
 		factor         float64
 	}
 	var candidates []candidate
+	spare := p.spareWorkers(step)
 	for i := range p.slots {
 		s := &p.slots[i]
 		if !step.allowed(s.worker) || (rack != "" && s.worker.Rack != rack) {
 			continue
 		}
+		if s.empty() && spare == 0 {
+			continue
+		}
 		if capacity := available(s).CapacityFor(step.Resources, min(len(step.Indexes), step.limit(s.worker))); capacity > 0 {
 			f := p.durationFactor(step, s.worker)
 			candidates = append(candidates, candidate{i, capacity, f})
@@ -257,6 +268,12 @@
 	pl := placement{}
 	racks := map[string]bool{}
 	for _, c := range candidates {
+		if p.slots[c.slot].empty() {
+			if spare == 0 {
+				continue
+			}
+			spare--
+		}
 		k := min(remaining, c.capacity)
 		pl.assignments = append(pl.assignments, slotAssignment{c.slot, k})
 		racks[p.slots[c.slot].worker.Rack] = true
--- a/internal/allot/plan.go
+++ b/internal/allot/plan.go
@@ -361,8 +361,9 @@
 			return compareBool(inTimeY, inTimeX)
 		}
 		if inTimeX {
-			// Running tasks of one step on workers of unknown speed reveals these speeds.
-			order = cmp.Or(-cmp.Compare(x.worker.uncertaintyBucket(), y.worker.uncertaintyBucket()), cmp.Compare(x.worker.speedBucket(), y.worker.speedBucket()))
+			// Running tasks of one step on workers of unknown speed reveals these speeds. A second task
+			// on the same worker reveals little more.
+			order = cmp.Or(-compareBool(x.unmeasured(), y.unmeasured()), cmp.Compare(x.worker.speedBucket(), y.worker.speedBucket()))
 		}
 	}
 	return cmp.Or(
@@ -375,8 +376,12 @@
 // fastWorkerPriority is the highest priority number of work that takes the fastest workers.
 const fastWorkerPriority = 0
 
-// uncertaintyBucket returns the uncertainty of a worker's speed, in steps of a quarter.
-func (w *Worker) uncertaintyBucket() int { return int(4 * w.SpeedStdDev) }
+// maxKnownStdDev is the standard deviation of the logarithm of a worker's speed below which the speed counts as
+// known.
+const maxKnownStdDev = 0.25
+
+// unmeasured reports whether the speed of a worker isn't known and no run is about to show it.
+func (s *slot) unmeasured() bool { return s.worker.SpeedStdDev >= maxKnownStdDev && s.empty() }
 
 // speedBucket returns the speed of a worker on a logarithmic scale in steps of about a fifth.
 func (w *Worker) speedBucket() int { return int(math.Round(4 * math.Log2(max(w.Speed, minSpeed)))) }
--- a/internal/allot/single.go
+++ b/internal/allot/single.go
@@ -72,9 +72,10 @@
 // if waiting for one near the data would take longer.
 func (p *planner) bestSlot(step *PendingStep, tasksOnSlot map[int]int) int {
 	bestFactor, bestIndex := 0.0, -1
+	spare := p.spareWorkers(step)
 	for i := range p.slots {
 		s := &p.slots[i]
-		if !step.allowed(s.worker) || tasksOnSlot[i] >= step.limit(s.worker) || s.available().CapacityFor(step.Resources, 1) == 0 {
+		if !step.allowed(s.worker) || tasksOnSlot[i] >= step.limit(s.worker) || s.available().CapacityFor(step.Resources, 1) == 0 || s.empty() && spare == 0 {
 			continue
 		}
 		f := p.durationFactor(step, s.worker)
