--- a/internal/jobagt/agent.go
+++ b/internal/jobagt/agent.go
@@ -42,6 +42,7 @@
 
 	mu           sync.Mutex
 	announced    Announcement // the newest one
+	confirmed    Announcement // the newest one whose worker has answered
 	earliestExit time.Time    // earliest time at which the announced worker exits; zero if it isn't known
 	exitReported bool         // the announced worker has reported that it exits now
 	state        workerState
--- a/internal/jobagt/agent_test.go
+++ b/internal/jobagt/agent_test.go
@@ -308,3 +308,25 @@
 		require.Fail(t, "the agent stays with a leader that doesn't answer")
 	}
 }
+
+// An announcement by somebody else that names a later start made the agent ignore its worker for good.
+func TestAnnouncementOfWorkerThatIsNotThereIsWithdrawn(t *testing.T) {
+	a, _ := newTestAgent(t, &fakeWorker{})
+	stranger := jobs.Worker{Name: "x", StartedMs: 1 << 60}
+	a.Announce(Announcement{Worker: stranger, Service: "s", Seq: 1})
+	require.False(t, a.buildReport().Listed)
+	a.mu.Lock()
+	a.holdFailed(stranger, ErrOtherWorker)
+	a.mu.Unlock()
+	require.Equal(t, testWorker, a.announced.Worker)
+	require.True(t, a.buildReport().Listed)
+
+	// The same before any worker has answered.
+	a.state, a.confirmed = workerState{}, Announcement{}
+	a.Announce(Announcement{Worker: stranger, Service: "s", Seq: 1})
+	a.mu.Lock()
+	a.holdFailed(stranger, ErrOtherWorker)
+	a.mu.Unlock()
+	a.Announce(Announcement{Worker: testWorker, Service: "s", Seq: 2})
+	require.Equal(t, testWorker, a.announced.Worker)
+}
