jobagt, jobctl: draining workers give up the rest of a long grant

Nobody is left who could say that the worker has gone. Test: TestDrainingWorkerGivesUpTheRestOfItsGrant.

--- a/internal/jobagt/agent.go
+++ b/internal/jobagt/agent.go
@@ -65,6 +65,7 @@
 	listingCount uint64    // listings received
 	listedAt     time.Time // when the last listing arrived
 	grantEnd     int64     // until when the leader lets the lease be renewed, on the worker's clock in milliseconds
+	drainClock   int64     // the worker's clock in the last report that it drains, in milliseconds
 	leaseEnd     int64     // latest end of the lease that was sent to the worker, on its clock in milliseconds
 	recordedEnds uint64    // run ends up to this number are recorded by the leader
 	runs         map[runKey]*pendingRun
@@ -181,6 +182,9 @@
 		if ann.Worker != old.Worker {
 			a.exitReported = false
 		}
+		if a.draining() {
+			a.cutGrant()
+		}
 		a.triggerReport()
 		a.triggerHold()
 	}
@@ -195,6 +199,7 @@
 	}
 	a.exitReported = true
 	a.announced.Draining = true
+	a.cutGrant()
 	a.log.Info("worker leaves", zap.String("worker", worker))
 	a.triggerReport()
 	a.triggerHold()
--- a/internal/jobagt/leader.go
+++ b/internal/jobagt/leader.go
@@ -129,6 +129,9 @@
 	if state.misses > 0 {
 		rep.Clock = 0 // the lease of a worker that may be gone must not be extended
 	}
+	if rep.Draining {
+		state.drainClock = max(state.drainClock, rep.Clock)
+	}
 	for _, r := range state.lastListing.Runs {
 		rep.Runs = append(rep.Runs, &wire.RunState{Task: r.Task, Run: uint32(r.Run), Saved: r.Checkpoint, Percent: uint32(max(0, r.Percent))})
 	}
--- a/internal/jobagt/lease.go
+++ b/internal/jobagt/lease.go
@@ -25,7 +25,7 @@
 	lease := max(0, time.Duration(state.leaseEnd-state.lastListing.ClockMs)*time.Millisecond)
 	ended := terms.CertainEnd(state.listedAt, lease)
 	// An earlier process of this agent may have sent any lease up to its last grant.
-	if predecessorEnded := terms.CertainEnd(a.startedAt, terms.Grant()); predecessorEnded.After(ended) {
+	if predecessorEnded := terms.CertainEnd(a.startedAt, terms.Grant(false)); predecessorEnded.After(ended) {
 		return predecessorEnded, true
 	}
 	return ended, true
@@ -40,3 +40,22 @@
 		a.executeAsync(a.ctx, k, r)
 	}
 }
+
+// draining reports whether the worker that answers is draining. The caller holds a.mu.
+func (a *Agent) draining() bool {
+	return a.announced.Draining && a.announced.Worker == a.state.worker
+}
+
+// extendGrant takes a grant of the leader. While the worker drains, it ignores an answer to a report
+// that didn't say so yet: the leader expects that the lease ends sooner. The caller holds a.mu.
+func (a *Agent) extendGrant(end int64) {
+	if a.draining() && end > a.state.drainClock+a.cfg.leaseTerms().Grant(true).Milliseconds() {
+		return
+	}
+	a.state.grantEnd = max(a.state.grantEnd, end)
+}
+
+// cutGrant gives up what is left of the grant when the worker begins to drain. The caller holds a.mu.
+func (a *Agent) cutGrant() {
+	a.state.grantEnd = min(a.state.grantEnd, a.state.leaseEnd)
+}
--- a/internal/jobagt/lease_test.go
+++ b/internal/jobagt/lease_test.go
@@ -106,3 +106,19 @@
 	defer w.mu.Unlock()
 	require.EqualValues(t, 9000, w.lastStart.LeaseEnd)
 }
+
+// The hosts of draining workers are taken away at short notice, agent and all. The rest of a long
+// grant kept their runs from starting elsewhere.
+func TestDrainingWorkerGivesUpTheRestOfItsGrant(t *testing.T) {
+	a, clk := newTestAgent(t, &fakeWorker{})
+	require.EqualValues(t, 5000, a.renew())
+	a.Announce(Announcement{Worker: testWorker, Service: "s", Seq: 2, Draining: true, RemainMs: 2000})
+	clk.advance(time.Second)
+	a.receiveListing(Listing{Worker: testWorker, ClockMs: 2000})
+	require.EqualValues(t, 5000, a.renew(), "the rest of the grant is given up")
+	require.EqualValues(t, 2000, a.buildReport().Clock)
+	a.receiveOrders(&wire.HostOrders{Term: 2, Worker: "w", Born: 1, Lease: 10500})
+	require.EqualValues(t, 5000, a.renew(), "an answer to an earlier report")
+	a.receiveOrders(&wire.HostOrders{Term: 2, Worker: "w", Born: 1, Lease: 6000})
+	require.EqualValues(t, 6000, a.renew())
+}
--- a/internal/jobagt/run.go
+++ b/internal/jobagt/run.go
@@ -105,7 +105,7 @@
 	if state.worker != (jobs.Worker{Name: orders.Worker, StartedMs: orders.Born}) {
 		return
 	}
-	state.grantEnd = max(state.grantEnd, orders.Lease)
+	a.extendGrant(orders.Lease)
 	if orders.Seen > state.recordedEnds {
 		state.recordedEnds = orders.Seen
 		for k := range state.runs {
--- a/internal/jobctl/hosts.go
+++ b/internal/jobctl/hosts.go
@@ -177,8 +177,8 @@
 	}
 	answer := &wire.HostOrders{} // sent even without a lease: an agent looks for another leader if this one is silent
 	if extendLease {
-		l.leaseEnds[h.worker] = l.c.cfg.leaseEnd(now)
-		answer.Lease = report.Clock + l.c.cfg.leaseTerms().Grant().Milliseconds()
+		l.leaseEnds[h.worker] = l.c.cfg.leaseEnd(now, report.Draining)
+		answer.Lease = report.Clock + l.c.cfg.leaseTerms().Grant(report.Draining).Milliseconds()
 	}
 	l.queueOrders(h, answer)
 	return nil
@@ -296,7 +296,7 @@
 	case l.leaseEnds[w].IsZero():
 		// This leader has not granted a lease yet. A lease granted by an earlier
 		// leader ends no later than one granted now.
-		l.leaseEnds[w] = l.c.cfg.leaseEnd(now)
+		l.leaseEnds[w] = l.c.cfg.leaseEnd(now, false)
 	case now.After(l.leaseEnds[w]):
 		return "lease ended"
 	}
--- a/internal/jobctl/leader.go
+++ b/internal/jobctl/leader.go
@@ -164,7 +164,7 @@
 	defer l.mu.Unlock()
 	l.c.state.Read(func(v jobs.View) {
 		for w := range v.Workers() {
-			l.leaseEnds[w] = l.c.cfg.leaseEnd(l.now())
+			l.leaseEnds[w] = l.c.cfg.leaseEnd(l.now(), false)
 		}
 		estimates := v.Estimates()
 		l.learner.Restore(estimates)
--- a/internal/jobctl/lease.go
+++ b/internal/jobctl/lease.go
@@ -27,8 +27,15 @@
 // time for which a worker continues runs allows for the age of its last clock reading.
 func (t LeaseTerms) Renewal() time.Duration { return t.RenewalTimeout * 4 / 5 }
 
-// Grant returns how far ahead of a worker's clock the leader lets the agent renew the lease.
-func (t LeaseTerms) Grant() time.Duration { return max(t.Renewal(), minGrant) }
+// Grant returns how far ahead of a worker's clock the leader lets the agent renew the lease. The host of a
+// draining worker may be gone soon together with its agent. Nobody reports the end of the worker then, so the
+// agent gives up the rest of the last grant when the worker begins to drain, and gets shorter ones.
+func (t LeaseTerms) Grant(draining bool) time.Duration {
+	if draining {
+		return t.Renewal()
+	}
+	return max(t.Renewal(), minGrant)
+}
 
 // CertainEnd returns when a lease that ends the given time after a reading of a worker's clock has
 // ended for certain, even if that clock is slow. at is when the reading arrived.
--- a/internal/jobctl/lease_test.go
+++ b/internal/jobctl/lease_test.go
@@ -15,7 +15,8 @@
 	} {
 		terms := LeaseTerms{RenewalTimeout: tt.timeout, ExpiryDelay: 300 * time.Millisecond}
 		require.Equal(t, tt.renewal, terms.Renewal())
-		require.Equal(t, tt.grant, terms.Grant())
+		require.Equal(t, tt.grant, terms.Grant(false))
+		require.Equal(t, tt.renewal, terms.Grant(true))
 	}
 	at := time.Unix(100, 0)
 	terms := LeaseTerms{ExpiryDelay: 300 * time.Millisecond}
--- a/internal/jobctl/settings.go
+++ b/internal/jobctl/settings.go
@@ -131,8 +131,8 @@
 }
 
 // leaseEnd returns when a lease granted at a given time has ended for certain.
-func (s *Settings) leaseEnd(granted time.Time) time.Time {
-	return s.leaseTerms().CertainEnd(granted, s.leaseTerms().Grant())
+func (s *Settings) leaseEnd(granted time.Time, draining bool) time.Time {
+	return s.leaseTerms().CertainEnd(granted, s.leaseTerms().Grant(draining))
 }
 
 // role registers the package's role with kern.
