--- a/internal/allot/input.go
+++ b/internal/allot/input.go
@@ -83,11 +83,6 @@
 	HardDeadline  time.Time     // time after which completing the job has no value
 }
 
-// sameGang reports whether both runs are members of the same gang.
-func (r *Run) sameGang(o *Run) bool {
-	return r.Task.Job == o.Task.Job && r.Task.Occur == o.Task.Occur && r.Task.Step == o.Task.Step
-}
-
 // PendingStep describes the waiting tasks of one step that may start.
 type PendingStep struct {
 	Job          string
--- a/internal/allot/plan.go
+++ b/internal/allot/plan.go
@@ -211,10 +211,11 @@
 // planner holds the state of one planning round.
 type planner struct {
 	in     Input
-	slots  []slot      // one for each worker, in the order of the input
-	racks  []string    // names in order
-	plan   Plan        // decisions so far
-	groups []*runGroup // all runs that aren't stopping
+	slots  []slot                    // one for each worker, in the order of the input
+	racks  []string                  // names in order
+	plan   Plan                      // decisions so far
+	groups []*runGroup               // all runs that aren't stopping
+	gangs  map[jobs.TaskID]*runGroup // the groups of gangs, by step
 	// claims are the placements of the last plan's claims, by the steps that they are for.
 	claims map[*PendingStep]placement
 }
@@ -229,7 +230,7 @@
 
 // newPlanner returns a planner with the free resources of each worker.
 func newPlanner(in Input) *planner {
-	p := &planner{in: in, claims: map[*PendingStep]placement{}}
+	p := &planner{in: in, gangs: map[jobs.TaskID]*runGroup{}, claims: map[*PendingStep]placement{}}
 
 	for i := range in.Workers {
 		w := &in.Workers[i]
@@ -275,13 +276,13 @@
 		p.groups = append(p.groups, &runGroup{})
 		return p.groups[len(p.groups)-1]
 	}
-	sameGroup := func(g *runGroup) bool { return len(g.runs) > 0 && g.runs[0].Gang && g.runs[0].sameGang(r) }
-	at := slices.IndexFunc(p.groups, sameGroup)
-	if at < 0 {
-		p.groups = append(p.groups, &runGroup{})
-		at = len(p.groups) - 1
+	key := stepID(r.Task)
+	g, ok := p.gangs[key]
+	if !ok {
+		g = &runGroup{}
+		p.gangs[key], p.groups = g, append(p.groups, g)
 	}
-	return p.groups[at]
+	return g
 }
 
 // planStep starts the tasks of a step, keeps resources for them or leaves them waiting.
