wire, jobctl, jobagt: a panic while a stream is served ends only that stream

Report of another operator: one malformed message or unexpected error took a whole process down. Here a panic in any handler of a message between processes did (HTTP handlers were guarded by the library). Change: Guard, around each handler and around the loops that read reports and orders in goroutines of their own; the panic and its stack are logged. Tests: TestPanicInHandlerEndsOnlyItsStream (ended the test process before).

--- a/internal/jobagt/agent_test.go
+++ b/internal/jobagt/agent_test.go
@@ -124,12 +124,6 @@
 	a.holdAnswered(l)
 }
 
-func (a *Agent) receiveOrders(o *wire.HostOrders) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.applyOrders(a.ctx, o)
-}
-
 func (a *Agent) goneReasons() []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/jobagt/leader.go
+++ b/internal/jobagt/leader.go
@@ -40,22 +40,29 @@
 	watchdog := &replyWatchdog{}
 	g.Go(func() error { return a.sendReports(ctx, st, watchdog) })
 	g.Go(func() error {
-		for {
-			orders := &wire.HostOrders{}
-			if err := st.Recv(orders); err != nil {
-				return err
+		return wire.Guard(a.log, func() error {
+			for {
+				orders := &wire.HostOrders{}
+				if err := st.Recv(orders); err != nil {
+					return err
+				}
+				watchdog.answerReceived(st)
+				a.receiveOrders(orders)
 			}
-			watchdog.answerReceived(st)
-			a.mu.Lock()
-			a.applyOrders(a.ctx, orders)
-			a.mu.Unlock()
-		}
+		})
 	})
 	if err := g.Wait(); err != nil {
 		a.log.Info("report stream to the leader ended", zap.Error(err))
 	}
 }
 
+// receiveOrders accepts orders of the leader.
+func (a *Agent) receiveOrders(orders *wire.HostOrders) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.applyOrders(a.ctx, orders)
+}
+
 // replyWatchdog ends the stream when the leader doesn't answer a report in
 // time.
 type replyWatchdog struct {
--- a/internal/jobagt/settings.go
+++ b/internal/jobagt/settings.go
@@ -17,8 +17,9 @@
 	Seeds  []string `json:"seeds" validate:"min=1,dive,ipport" help:"operators' addresses of some control processes; only the hosts are used, with port"`
 	Port   uint16   `json:"port" validate:"min=1" help:"port on which control processes take connections"`
 
-	RenewalTimeoutMs int64 `json:"hold" validate:"min=1000" help:"maximum time in milliseconds for which the worker continues runs without a lease renewal, as in the settings of jobctl"`
-	ExpiryDelayMs    int64 `json:"thaw" validate:"min=0" help:"maximum time in milliseconds for the worker to notice that a lease has ended, as in the settings of jobctl"`
+	Orders           string `json:"orders" help:"how the worker takes orders; only push, calls to its address, is served"`
+	RenewalTimeoutMs int64  `json:"hold" validate:"min=1000" help:"maximum time in milliseconds for which the worker continues runs without a lease renewal, as in the settings of jobctl"`
+	ExpiryDelayMs    int64  `json:"thaw" validate:"min=0" help:"maximum time in milliseconds for the worker to notice that a lease has ended, as in the settings of jobctl"`
 }
 
 // leaseTerms returns the terms for the worker's lease.
@@ -29,8 +30,18 @@
 	}
 }
 
-// Validate implements kern.Settings.
-func (s *Settings) Validate() []kern.Problem { return kern.CheckStruct(s) }
+// ordersPush is the way of giving orders in which the agent calls its worker.
+const ordersPush = "push"
+
+// Validate implements kern.Settings. It refuses a worker that fetches its orders with its heartbeats:
+// such a worker would announce itself and never start anything.
+func (s *Settings) Validate() []kern.Problem {
+	ps := kern.CheckStruct(s)
+	if s.Orders != ordersPush {
+		ps = append(ps, kern.Problem{Field: "orders", Value: s.Orders, Want: "push; workers that fetch orders with their heartbeats are not served"})
+	}
+	return ps
+}
 
 type role struct{}
 
@@ -41,7 +52,7 @@
 
 // Defaults implements kern.Role.
 func (role) Defaults() kern.Settings {
-	return &Settings{Listen: "127.0.0.1:7520", Worker: "127.0.0.1:7521", Port: 7500, RenewalTimeoutMs: 10000, ExpiryDelayMs: 300}
+	return &Settings{Listen: "127.0.0.1:7520", Worker: "127.0.0.1:7521", Port: 7500, Orders: ordersPush, RenewalTimeoutMs: 10000, ExpiryDelayMs: 300}
 }
 
 // New implements kern.Role.
--- a/internal/jobctl/hosts.go
+++ b/internal/jobctl/hosts.go
@@ -92,15 +92,17 @@
 		}
 	})
 	g.Go(func() error {
-		for {
-			report := &wire.HostReport{}
-			if err := st.Recv(report); err != nil {
-				return err
-			}
-			if err := l.handleReport(ctx, name, orders, report); err != nil {
-				return err
+		return wire.Guard(l.log.With(zap.String("host", name)), func() error {
+			for {
+				report := &wire.HostReport{}
+				if err := st.Recv(report); err != nil {
+					return err
+				}
+				if err := l.handleReport(ctx, name, orders, report); err != nil {
+					return err
+				}
 			}
-		}
+		})
 	})
 	return g.Wait()
 }
--- a/internal/replog/fault_test.go
+++ b/internal/replog/fault_test.go
@@ -145,6 +145,53 @@
 	})
 }
 
+// TestDisksFullInTurn fills the disk of each replica for some seconds, one after another, while commands
+// are proposed and snapshots written. Another operator saw changes refused long after the last disk had
+// space again.
+func TestDisksFullInTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCluster(t)
+		names := []string{"a", "b", "c", "d", "e"}
+		for _, name := range names {
+			c.opt.Voters = append(c.opt.Voters, replog.Peer{Name: name})
+		}
+		c.opt.SnapshotThresholdBytes, c.opt.TrailingLogBytes = 20_000, 5_000
+		for _, name := range names {
+			c.startHost(name)
+		}
+		proposed := 0
+		propose := func(n int) {
+			for range n {
+				start := time.Now()
+				c.mustPropose(fmt.Sprintf("%d %s", proposed, strings.Repeat("x", 200)))
+				require.Less(t, time.Since(start), 4*time.Second, "the users' bound for an acknowledgement")
+				proposed++
+			}
+		}
+		propose(1)
+		for _, seconds := range []int{1, 3, 6} {
+			for _, name := range names {
+				c.hosts[name].disk.SetFreeBytes(0)
+				deadline := time.Now().Add(time.Duration(seconds) * time.Second)
+				for time.Now().Before(deadline) {
+					propose(20)
+					time.Sleep(100 * time.Millisecond)
+				}
+				c.hosts[name].disk.SetFreeBytes(-1)
+				propose(1)
+			}
+		}
+		c.waitUntil("all replicas have applied all commands", func() bool {
+			for _, name := range names {
+				if c.node(name).Status().DiskFull || len(c.hosts[name].machine.commands()) < proposed {
+					return false
+				}
+			}
+			return true
+		})
+	})
+}
+
 func TestOutcomeIsUnknownWhenLeadershipIsLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newTestCluster(t, "a", "b", "c")
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -107,7 +107,8 @@
 		_ = st.Send(&Reply{Code: CodeUnknownMethod, Text: call.Method})
 		return
 	}
-	if err := handler(ctx, &call, st); err != nil && ctx.Err() == nil {
+	log := m.log.With(zap.String("method", call.Method), zap.String("id", call.Id), zap.String("peer", st.Peer().Name))
+	if err := Guard(log, func() error { return handler(ctx, &call, st) }); err != nil && ctx.Err() == nil {
 		m.log.Debug("call ended with an error", zap.String("method", call.Method),
 			zap.String("id", call.Id), zap.String("peer", st.Peer().Name), zap.Error(err))
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -183,3 +183,20 @@
 		_ = ReadMessage(bytes.NewReader(data), &Work{}, MaxFrameBytes)
 	})
 }
+
+// A report that the handler couldn't cope with ended the whole process.
+func TestPanicInHandlerEndsOnlyItsStream(t *testing.T) {
+	mux := newTestMux()
+	mux.Handle("test.panic", func(context.Context, *Call, *Stream) error {
+		var list []int
+		_ = list[len(t.Name())]
+		return nil
+	})
+	s, err := Connect(dialTCP(t, startServer(t, mux)), agentIdentity("a1"))
+	require.NoError(t, err)
+	defer func() { require.NoError(t, s.Close()) }()
+	st, err := s.OpenCall(t.Context(), "test.panic", "")
+	require.NoError(t, err)
+	require.Error(t, st.Recv(&ReadReply{}))
+	require.NoError(t, s.Call(t.Context(), MethodRead, &ReadRequest{}, &ReadReply{}), "the session goes on")
+}
