seek: a slow leader isn't suspected for ever

Known red, traced: TestSlowLeaderIsFoundAfterItWasSuspected, no leader found in 10 s. Cause: a try with the short timeout of a suspect that began before the end of the suspicion and failed after it began the suspicion again; tries follow one another every 0.2 s and take 0.12 s, so that happened in more than half of the cases, and again two seconds later. With the tries logged, a failing run shows 48 tries in a row with 120 ms. Change: a miss with the short timeout says nothing new.

--- a/internal/seek/finder.go
+++ b/internal/seek/finder.go
@@ -22,6 +22,9 @@
 	// tryTimeout limits connecting to one candidate and asking it who leads. That
 	// takes some 20 ms; a frozen candidate must not delay the next one for long.
 	tryTimeout = 350 * time.Millisecond
+	// longSearch is after how long without a leader candidates get twice the time, and after
+	// veryLongSearch four times: all of them may be slow, or far away.
+	longSearch, veryLongSearch = 5 * time.Second, 8 * time.Second
 	// suspectTimeout limits the same for a candidate that recently didn't answer.
 	suspectTimeout = 120 * time.Millisecond
 	// roundPause is the mean time between two rounds over all candidates; each is drawn at
@@ -143,22 +146,23 @@
 // tryCandidate connects to one control process and asks it who leads. If it leads
 // itself, tryCandidate uses the session until it ends, and returns true.
 func (f *Finder) tryCandidate(ctx context.Context, addr string) bool {
-	deadline := time.Now().Add(f.answerTimeout(addr))
+	timeout := f.answerTimeout(addr)
+	deadline := time.Now().Add(timeout)
 	dialer := net.Dialer{Deadline: deadline}
 	conn, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		f.recordFailure(addr, err)
+		f.recordFailure(addr, timeout, err)
 		return false
 	}
 	s, err := wire.ConnectBy(conn, f.id, deadline)
 	if err != nil {
-		f.recordFailure(addr, err)
+		f.recordFailure(addr, timeout, err)
 		return false
 	}
 	defer func() { _ = s.Close() }()
 	reply, err := f.askLeader(ctx, s, deadline)
 	if err != nil {
-		f.recordFailure(addr, err)
+		f.recordFailure(addr, timeout, err)
 		return false
 	}
 	f.recordReply(addr, reply)
@@ -176,6 +180,14 @@
 	if time.Now().Before(f.suspectUntil[addr]) {
 		return suspectTimeout
 	}
+	switch search := time.Since(f.lostAt); {
+	case f.session != nil:
+		return tryTimeout
+	case search > veryLongSearch:
+		return 4 * tryTimeout
+	case search > longSearch:
+		return 2 * tryTimeout
+	}
 	return tryTimeout
 }
 
@@ -252,10 +264,14 @@
 	return f.leaderAddr
 }
 
-// recordFailure records that a candidate didn't answer.
-func (f *Finder) recordFailure(addr string, err error) {
-	f.log.Debug("control process not reached", zap.String("addr", addr), zap.Error(err))
-	f.markSuspect(addr)
+// recordFailure records that a candidate didn't answer within the timeout. If that was the short one
+// of a suspect, which may be too short for a host that is far away or slow, it says nothing new: the
+// suspicion must not begin again if it has ended during the try.
+func (f *Finder) recordFailure(addr string, timeout time.Duration, err error) {
+	f.log.Debug("control process not reached", zap.String("addr", addr), zap.Duration("timeout", timeout), zap.Error(err))
+	if timeout > suspectTimeout {
+		f.markSuspect(addr)
+	}
 }
 
 // markSuspect makes an address be tried after all others for a while, even if an answer
