jobctl: grants of 8 s

A grant of 9 s ends for certain 9.7 s after the last report. The test of the former value follows it; TestLeaseTerms checks the bound.

--- a/internal/jobagt/lease_test.go
+++ b/internal/jobagt/lease_test.go
@@ -68,9 +68,9 @@
 	a, clk := newTestAgent(t, &fakeWorker{})
 	a.startedAt = clk.Now()
 	a.renew()
-	clk.advance(9 * time.Second)
+	clk.advance(8600 * time.Millisecond)
 	require.False(t, a.missHold())
-	clk.advance(time.Second)
+	clk.advance(100 * time.Millisecond)
 	require.True(t, a.missHold())
 }
 
--- a/internal/jobctl/lease.go
+++ b/internal/jobctl/lease.go
@@ -15,8 +15,9 @@
 
 const (
 	// minGrant is the least duration of a grant. It outlasts a partition of six seconds and the
-	// time to find the leader again.
-	minGrant = 9 * time.Second
+	// time to find the leader again. With drift and margins it ends before a task that lasts has
+	// to run again, nine seconds after its last run.
+	minGrant = 8 * time.Second
 	// maxClockDrift is the maximum rate error of a worker's clock, as specified by the platform.
 	maxClockDrift = 0.02
 	// leaseMargin covers the timer delays on both sides, for which no limit is specified.
--- a/internal/jobctl/lease_test.go
+++ b/internal/jobctl/lease_test.go
@@ -9,8 +9,8 @@
 
 func TestLeaseTerms(t *testing.T) {
 	for _, tt := range []struct{ timeout, renewal, grant time.Duration }{
-		{6 * time.Second, 4800 * time.Millisecond, 9 * time.Second},
-		{10 * time.Second, 8 * time.Second, 9 * time.Second},
+		{6 * time.Second, 4800 * time.Millisecond, 8 * time.Second},
+		{10 * time.Second, 8 * time.Second, 8 * time.Second},
 		{20 * time.Second, 16 * time.Second, 16 * time.Second},
 	} {
 		terms := LeaseTerms{RenewalTimeout: tt.timeout, ExpiryDelay: 300 * time.Millisecond}
@@ -20,5 +20,6 @@
 	}
 	at := time.Unix(100, 0)
 	terms := LeaseTerms{ExpiryDelay: 300 * time.Millisecond}
+	require.Less(t, terms.CertainEnd(at, minGrant).Sub(at), 9*time.Second, "the users' bound for a task that lasts")
 	require.Equal(t, at.Add(10500*time.Millisecond), terms.CertainEnd(at, 9800*time.Millisecond))
 }
