--- a/internal/allot/play/table_test.go
+++ b/internal/allot/play/table_test.go
@@ -1,6 +1,7 @@
 package play_test
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -56,9 +57,11 @@
 		s.net/n, s.share/n, s.render/n, s.confirm/n, s.batch/n, s.wasted/n, float64(s.stops)/n)
 }
 
-// TestTable prints the results of the planner and the baselines under each load, with -v.
+var printTable = flag.Bool("table", false, "simulate all loads and log the results, which takes minutes")
+
+// TestTable logs the results of the planner and the baselines under each load, with -v -table.
 func TestTable(t *testing.T) {
-	if !testing.Verbose() {
+	if !*printTable {
 		return
 	}
 	for _, load := range []float64{0.7, 1, 1.6, 2.2} {
