--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -71,14 +71,16 @@
 	return n
 }
 
-// reborn crashes one minion of six at a time. It starts again at its address under its id. A job is
+// reborn crashes one minion of six at a time. It starts again at its address under its id. Some jobs are
 // handed in at about the time of each crash.
 func reborn(s *system, trouble bool) ([]string, error) {
 	const (
 		minions = 6
-		crashes = 34
-		down    = 500 * time.Millisecond // from the crash to the new life
-		pause   = 2200 * time.Millisecond
+		crashes = 30
+		jobs    = 4                      // at each crash
+		minDown = 300 * time.Millisecond // least time from the crash to the new life
+		varied  = 700                    // milliseconds that it may be longer
+		pause   = 2000 * time.Millisecond
 	)
 	if err := begin(s, minions, nil, queueRoutes); err != nil {
 		return nil, err
@@ -89,9 +91,12 @@
 			m.kill()
 			s.note(id, "killed", "SIGKILL")
 		}
-		time.Sleep(time.Duration(rand.IntN(50)) * time.Millisecond)
-		s.submit("/q1/", jobID(n), jobBody(24, 2000, 500, 100, 0))
-		time.Sleep(down)
+		back := time.Now().Add(minDown + time.Duration(rand.IntN(varied))*time.Millisecond)
+		for i := range jobs {
+			s.submit("/q1/", jobID(jobs*n+i), jobBody(6, 2000, 500, 100, 0))
+			time.Sleep(25 * time.Millisecond)
+		}
+		time.Sleep(time.Until(back))
 		if trouble {
 			if err := m.launch(); err != nil {
 				return nil, err
