--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -71,7 +71,7 @@
 	return n
 }
 
-// reborn crashes one minion of six at a time. It starts again at its address under its id. Some jobs are
+// reborn crashes one worker of six at a time. It starts again at its address under its id. Some jobs are
 // handed in at about the time of each crash.
 func reborn(s *system, trouble bool) ([]string, error) {
 	const (
@@ -200,7 +200,7 @@
 	if trouble {
 		busy(true)
 	} else {
-		// The last minion is taken as well, so that the jobs wait without a disruption.
+		// The last worker is taken as well, so that the jobs wait without a disruption.
 		s.submit("/q1/", jobID(2), jobBody(1, 90000, 500, 100, 8))
 		time.Sleep(time.Second)
 	}
@@ -212,7 +212,7 @@
 		}
 	}
 	if trouble {
-		// A job of the higher priority takes the minion once it is well again.
+		// A job of the higher priority takes the worker once it is well again.
 		time.Sleep(3 * time.Second)
 		s.submit("/q1/", jobID(2), jobBody(1, 90000, 500, 100, 8))
 		time.Sleep(time.Until(began.Add(grey)))
@@ -230,22 +230,21 @@
 		}
 		for front := 1; front <= fronts; front++ {
 			status, text := s.call("GET", front, "/q2/", "")
-			var b struct {
-				Count int `json:"queued_count"`
-			}
-			if status != 200 || json.Unmarshal([]byte(text), &b) != nil {
+			object := map[string]json.RawMessage{}
+			if status != 200 || json.Unmarshal([]byte(text), &object) != nil || object[names["queued"]] == nil {
 				continue
 			}
-			if 2*b.Count < notBegun {
-				found = append(found, fmt.Sprintf("MIXED: %.1f s after the jobs were accepted the count is %d, but %d of them have had no start", time.Since(began).Seconds(), b.Count, notBegun))
+			count := int(field(object, "queued"))
+			if 2*count < notBegun {
+				found = append(found, fmt.Sprintf("MIXED: %.1f s after the jobs were accepted the count is %d, but %d of them have had no start", time.Since(began).Seconds(), count, notBegun))
 			}
 		}
 	}
 	return found, nil
 }
 
-// clock sets back the time of day on the machine of a minion that has started a short while ago. Then the
-// minion crashes and starts again.
+// clock sets back the time of day on the machine of a worker that has started a short while ago. Then the
+// worker crashes and starts again.
 func clock(s *system, trouble bool) ([]string, error) {
 	const (
 		minions = 4
@@ -291,13 +290,13 @@
 	time.Sleep(40 * time.Second)
 	status, state := s.stateOf("/q1/" + jobID(2))
 	if starts := s.startsOf(jobID(2)); starts == 0 {
-		return []string{fmt.Sprintf("LOST: 40 s after the job was accepted its state is %d %q and it has had no start, on an idle service; the minion it needs has been up for 42 s", status, state)}, nil
+		return []string{fmt.Sprintf("LOST: 40 s after the job was accepted its state is %d %q and it has had no start, on an idle service; the worker it needs has been up for 42 s", status, state)}, nil
 	}
 	return nil, nil
 }
 
-// ends hands in a job of many small tasks. More than a thousand of them end on each minion within a second, of
-// which a minion lists 500 at a time.
+// ends hands in a job of many small tasks. More than a thousand of them end on each worker within a second, of
+// which a worker lists 500 at a time.
 func ends(s *system, trouble bool) ([]string, error) {
 	const (
 		minions = 3
--- a/review/standin/judge.go
+++ b/review/standin/judge.go
@@ -2,7 +2,7 @@
 
 import "fmt"
 
-// interval is the time during which a run worked on one life of a minion.
+// interval is the time during which a run worked on one life of a worker.
 type interval struct {
 	who      string
 	born     int64
@@ -12,11 +12,11 @@
 	task     string
 }
 
-// intervals returns the runs of each task. A run ends when its minion lists the end, or when its
-// minion was killed.
+// intervals returns the runs of each task. A run ends when its worker lists the end, or when its
+// worker was killed.
 func intervals(list []event) map[string][]*interval {
 	byTask := map[string][]*interval{}
-	open := map[string]map[runKey]*interval{} // by minion
+	open := map[string]map[runKey]*interval{} // by worker
 	for _, e := range list {
 		switch e.What {
 		case "start":
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,7 +27,7 @@
 type script func(s *system, trouble bool) ([]string, error)
 
 func main() {
-	if len(os.Args) > 2 && os.Args[1] == "minion" {
+	if len(os.Args) > 2 && os.Args[1] == "worker" {
 		if err := runMinion(os.Args[2:]); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -219,7 +219,7 @@
 			return err
 		}
 		s.agents = append(s.agents, p)
-		args := []string{s.self, "minion", "-id", minionID(i), "-listen", s.addr(h, portMinion), "-agent", s.addr(h, portSide), "-record", s.recordFile}
+		args := []string{s.self, "worker", "-id", minionID(i), "-listen", s.addr(h, portMinion), "-agent", s.addr(h, portSide), "-record", s.recordFile}
 		if minionArgs != nil {
 			args = append(args, minionArgs(i)...)
 		}
@@ -304,15 +304,15 @@
 	var list []map[string]any
 	for _, r := range routes {
 		list = append(list, map[string]any{
-			"name": r.name, "host": host, "path_prefix": r.prefix, "kind": "non_idempotent", "timeout_ms": cmp.Or(r.timeoutMs, 3000), "target_latency_ms": 1000,
-			"priority": r.priority, "service": "s", "max_attempts": 4, "slack_factor": 3.0, "public": false,
+			"name": r.name, "host": host, names["prefix"]: r.prefix, "kind": "non_idempotent", "timeout_ms": cmp.Or(r.timeoutMs, 3000), names["target"]: 1000,
+			"priority": r.priority, "service": "s", "max_attempts": 4, names["slack"]: 3.0, "public": false,
 		})
 	}
 	body, err := json.Marshal(map[string]any{
 		"version": version, "routes": list,
-		"services": []any{map[string]any{"name": "s", "health_path": "/healthz", "max_conns": 64, "protocol": "h1", "tls": false, "enforce_limits": true, "standby": false}},
+		"services": []any{map[string]any{"name": "s", "health_path": "/healthz", "max_conns": 64, "protocol": "h1", "tls": false, names["guards"]: true, "standby": false}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants":  []any{map[string]any{"name": "t1", "api_keys": []string{apiKey}, "priority": 1, "guaranteed_gpus": map[string]int{"gpu": 16}}},
+		"tenants":  []any{map[string]any{"name": "t1", names["keys"]: []string{apiKey}, "priority": 1, names["sure"]: map[string]int{"gpu": 16}}},
 	})
 	if err != nil {
 		return err
@@ -350,7 +350,7 @@
 
 // jobBody returns a job of one step.
 func jobBody(count int, ms, cpu, memMB, gpu int64) string {
-	step := map[string]any{"count": count, "cpu": cpu, "mem_mb": memMB, "estimate_ms": ms}
+	step := map[string]any{"count": count, "cpu": cpu, names["memory"]: memMB, names["estimate"]: ms}
 	if gpu > 0 {
 		step["gpu"] = gpu
 	}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -56,10 +57,10 @@
 	_, _ = r.f.Write(append(line, '\n'))
 }
 
-// minion is a stand-in for one minion of the platform. It follows the section "Running
+// worker is a stand-in for one worker of the platform. It follows the section "Running
 // tasks" of the users' protocol. A task's spec gives its duration and needs, for example
 // "ms=2000 cpu=500 gpu=1".
-type minion struct {
+type worker struct {
 	id, listen, agent, service, rack string
 	labels                           []string
 	cpu, mem, gpu                    int64
@@ -83,7 +84,7 @@
 	seq        int64
 }
 
-// runKey identifies a run. Two runs of one task can be on a minion.
+// runKey identifies a run. Two runs of one task can be on a worker.
 type runKey struct {
 	task string
 	run  int
@@ -107,9 +108,9 @@
 }
 
 func runMinion(args []string) error {
-	w := &minion{runs: map[runKey]*minionRun{}, highest: map[string]int{}, endAdded: make(chan struct{})}
+	w := &worker{runs: map[runKey]*minionRun{}, highest: map[string]int{}, endAdded: make(chan struct{})}
 	var labels, record string
-	fs := flag.NewFlagSet("minion", flag.ContinueOnError)
+	fs := flag.NewFlagSet("worker", flag.ContinueOnError)
 	fs.StringVar(&w.id, "id", "", "")
 	fs.StringVar(&w.listen, "listen", "", "")
 	fs.StringVar(&w.agent, "agent", "", "")
@@ -136,10 +137,10 @@
 	}
 	w.started = time.Now()
 	w.bornMs = w.started.UnixMilli() + w.bornOffsetMs
-	w.rec.add(event{Who: w.id, What: "minion up", Born: w.bornMs})
+	w.rec.add(event{Who: w.id, What: "worker up", Born: w.bornMs})
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /api/run-start", w.order(w.start))
-	mux.HandleFunc("POST /api/run-stop", w.order(w.stop))
+	mux.HandleFunc("POST "+names["start"], w.order(w.start))
+	mux.HandleFunc("POST "+names["stop"], w.order(w.stop))
 	mux.HandleFunc("POST /api/hold", w.hold)
 	mux.HandleFunc("POST /standin/busy/{on}", func(rw http.ResponseWriter, r *http.Request) {
 		w.mu.Lock()
@@ -153,9 +154,9 @@
 	return srv.Serve(ln)
 }
 
-func (w *minion) clockMs() int64 { return time.Since(w.started).Milliseconds() }
+func (w *worker) clockMs() int64 { return time.Since(w.started).Milliseconds() }
 
-func (w *minion) beats() {
+func (w *worker) beats() {
 	client := &http.Client{Timeout: time.Second}
 	time.Sleep(firstBeat)
 	for {
@@ -163,7 +164,7 @@
 		w.seq++
 		body, _ := json.Marshal(map[string]any{
 			"service": w.service, "address": w.listen, "zone": "d1", "version": "v1", "slots": 8, "state": "ready",
-			"cold_remaining_ms": 0, "capacity": map[string]int64{"cpu": w.cpu, "mem_mb": w.mem, "gpu": w.gpu},
+			names["cold"]: 0, "capacity": map[string]int64{"cpu": w.cpu, names["memory"]: w.mem, "gpu": w.gpu},
 			"labels": w.labels, "clock_ms": w.clockMs(), "seq": w.seq, "born": w.bornMs,
 		})
 		seq := w.seq
@@ -189,7 +190,7 @@
 	}
 }
 
-func (w *minion) watchLease() {
+func (w *worker) watchLease() {
 	for {
 		time.Sleep(tickInterval)
 		w.mu.Lock()
@@ -210,12 +211,12 @@
 	Run        int    `json:"attempt"`
 	Spec       string `json:"spec"`
 	DeadlineMs int64  `json:"deadline_ms"`
-	Token      uint64 `json:"fencing_token"`
-	LastSeen   uint64 `json:"last_seen"`
 	WaitMs     int64  `json:"wait_ms"`
+	Token      uint64 `json:"-"`
+	LastSeen   uint64 `json:"-"`
 }
 
-func (w *minion) reply(rw http.ResponseWriter, status int, body map[string]any) {
+func (w *worker) reply(rw http.ResponseWriter, status int, body map[string]any) {
 	body["clock_ms"], body["born"] = w.clockMs(), w.bornMs
 	rw.Header().Set("Content-Type", "application/json")
 	rw.WriteHeader(status)
@@ -223,11 +224,14 @@
 }
 
 // accept decodes an order, checks its addressee and its fence, and takes over its lease.
-func (w *minion) accept(rw http.ResponseWriter, r *http.Request, o *order) bool {
-	if err := json.NewDecoder(r.Body).Decode(o); err != nil {
+func (w *worker) accept(rw http.ResponseWriter, r *http.Request, o *order) bool {
+	text, err := io.ReadAll(r.Body)
+	object := map[string]json.RawMessage{}
+	if err != nil || json.Unmarshal(text, o) != nil || json.Unmarshal(text, &object) != nil {
 		rw.WriteHeader(http.StatusBadRequest)
 		return false
 	}
+	o.Token, o.LastSeen = field(object, "token"), field(object, "seen")
 	if want := r.Header.Get("Expect-Instance"); want != "" && want != w.id {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return false
@@ -243,7 +247,7 @@
 	return true
 }
 
-func (w *minion) order(carryOut func(o order) (int, string)) http.HandlerFunc {
+func (w *worker) order(carryOut func(o order) (int, string)) http.HandlerFunc {
 	return func(rw http.ResponseWriter, r *http.Request) {
 		var o order
 		if !w.accept(rw, r, &o) {
@@ -272,7 +276,7 @@
 }
 
 // start begins a run. The caller holds mu.
-func (w *minion) start(o order) (int, string) {
+func (w *worker) start(o order) (int, string) {
 	if _, ok := w.runs[runKey{o.Task, o.Run}]; ok {
 		return http.StatusOK, ""
 	}
@@ -304,7 +308,7 @@
 }
 
 // stop ends a run. The caller holds mu.
-func (w *minion) stop(o order) (int, string) {
+func (w *worker) stop(o order) (int, string) {
 	w.highest[o.Task] = max(w.highest[o.Task], o.Run)
 	if r, ok := w.runs[runKey{o.Task, o.Run}]; ok {
 		time.AfterFunc(stopDelay, func() {
@@ -317,7 +321,7 @@
 }
 
 // end lists the end of a run. The caller holds mu.
-func (w *minion) end(r *minionRun, how string) {
+func (w *worker) end(r *minionRun, how string) {
 	if w.runs[runKey{r.task, r.run}] != r {
 		return
 	}
@@ -334,7 +338,7 @@
 // maxListed is the number of ends in one answer.
 const maxListed = 500
 
-func (w *minion) hold(rw http.ResponseWriter, r *http.Request) {
+func (w *worker) hold(rw http.ResponseWriter, r *http.Request) {
 	var o order
 	if !w.accept(rw, r, &o) {
 		return
