jobctl, jobagt: runs ordered to an earlier incarnation of a worker are stopped

Cause: orders name a worker, not its incarnation, and may be carried out late. Agent and leader took a run for ended with the incarnation for which it is recorded, although the next one had taken the order to start it; runs listed without a record were ignored.

Change: a run recorded for an earlier incarnation under the same name has ended only when the current one was told to stop it and has reported that it isn't there, or its end. The leader derives this from the stored record (agents that restart, takeovers); the agent does it at once for the runs it knows. Listed runs without a record are stopped. No start after an unanswered hold, or with less than a second of lease left; holds after an unanswered one carry neither a lease nor recorded ends. Stored data and messages are as before.

--- a/internal/jobagt/agent.go
+++ b/internal/jobagt/agent.go
@@ -67,6 +67,7 @@
 	grantEnd     int64     // until when the leader lets the lease be renewed, on the worker's clock in milliseconds
 	drainClock   int64     // the worker's clock in the last report that it drains, in milliseconds
 	leaseEnd     int64     // latest end of the lease that was sent to the worker, on its clock in milliseconds
+	earlierLease int64     // latest end of a lease by an order for an earlier incarnation, on the worker's clock in milliseconds
 	recordedEnds uint64    // run ends up to this number are recorded by the leader
 	runs         map[runKey]*pendingRun
 	goneRuns     []*wire.RunGone // not yet reported on the current stream
@@ -179,7 +180,8 @@
 	if ann.Worker != old.Worker || ann.Draining != old.Draining {
 		a.log.Info("worker announced", zap.String("worker", ann.Worker.Name), zap.Int64("born", ann.Worker.StartedMs), zap.Int64("seq", ann.Seq),
 			zap.Bool("draining", ann.Draining), zap.Int64("remain", ann.RemainMs), zap.String("service", ann.Service))
-		if ann.Worker != old.Worker {
+		if ann.Worker != old.Worker || !ann.Draining {
+			// The report of an exit may have come late, from an earlier incarnation: it names only the worker.
 			a.exitReported = false
 		}
 		if a.draining() {
@@ -190,7 +192,7 @@
 	}
 }
 
-// Leave implements AnnouncementReceiver.
+// Leave implements AnnouncementReceiver. An announcement as ready that follows takes it back.
 func (a *Agent) Leave(worker string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/jobagt/hold.go
+++ b/internal/jobagt/hold.go
@@ -66,7 +66,9 @@
 func (a *Agent) sendHold(ctx context.Context, worker jobs.Worker) bool {
 	a.mu.Lock()
 	h := HoldOrder{Term: a.term, WaitMs: holdWait.Milliseconds()}
-	if a.state.worker == worker {
+	// A worker that left a hold unanswered may have been replaced by its next incarnation, for which neither
+	// the lease nor the numbers of the ends are meant.
+	if a.state.worker == worker && a.state.misses == 0 {
 		h.LeaseEnd, h.RecordedEnds = a.renewLease(), a.state.recordedEnds
 		if !a.state.listed || len(a.state.lastListing.Ends) > 0 && a.state.lastListing.Ends[len(a.state.lastListing.Ends)-1].Number <= h.RecordedEnds || a.state.awaitsListing() {
 			h.WaitMs = 0
@@ -172,13 +174,27 @@
 // usable reports whether the worker answers and may get new runs.
 func (s *workerState) usable() bool { return s.listed && s.refusals == 0 && s.misses <= maxMisses }
 
+// beginIncarnation begins the state of the worker that has answered for the first time. The caller holds a.mu.
+func (a *Agent) beginIncarnation(listing Listing) {
+	earlier := a.state
+	a.state = workerState{worker: listing.Worker, runs: map[runKey]*pendingRun{}}
+	if earlier.worker.Name != listing.Worker.Name {
+		return // the new worker rejects orders for the earlier one
+	}
+	a.state.earlierLease = listing.ClockMs + a.cfg.leaseTerms().RenewalTimeout.Milliseconds()
+	a.state.inheritRuns(earlier.runs)
+	for k, r := range a.state.runs {
+		a.executeAsync(a.ctx, k, r)
+	}
+}
+
 // holdAnswered stores a worker's listing. The caller holds a.mu.
 func (a *Agent) holdAnswered(listing Listing) {
 	state := &a.state
 	if state.worker != listing.Worker {
 		a.log.Info("worker answers", zap.String("worker", listing.Worker.Name), zap.Int64("born", listing.Worker.StartedMs),
 			zap.String("before", state.worker.Name), zap.Int("runs", len(listing.Runs)), zap.Int("ends", len(listing.Ends)))
-		*state = workerState{worker: listing.Worker, runs: map[runKey]*pendingRun{}}
+		a.beginIncarnation(listing)
 	}
 	becameUsable := !state.usable()
 	newEnds := len(listing.Ends) > 0 && (len(state.lastListing.Ends) == 0 || listing.Ends[len(listing.Ends)-1].Number > state.lastListing.Ends[len(state.lastListing.Ends)-1].Number)
--- a/internal/jobagt/lease.go
+++ b/internal/jobagt/lease.go
@@ -22,7 +22,7 @@
 		return time.Time{}, false
 	}
 	terms := a.cfg.leaseTerms()
-	lease := max(0, time.Duration(state.leaseEnd-state.lastListing.ClockMs)*time.Millisecond)
+	lease := max(0, time.Duration(max(state.leaseEnd, state.earlierLease)-state.lastListing.ClockMs)*time.Millisecond)
 	ended := terms.CertainEnd(state.listedAt, lease)
 	// An earlier process of this agent may have sent any lease up to its last grant.
 	if predecessorEnded := terms.CertainEnd(a.startedAt, terms.Grant(false)); predecessorEnded.After(ended) {
@@ -41,6 +41,13 @@
 	}
 }
 
+// leaseLeft returns how long a lease still lasts that ends at a time on the worker's clock. The caller holds
+// a.mu.
+func (a *Agent) leaseLeft(end int64) time.Duration {
+	left := time.Duration(end-a.state.lastListing.ClockMs) * time.Millisecond
+	return left - a.env.BootClock.Now().Sub(a.state.listedAt)
+}
+
 // draining reports whether the worker that answers is draining. The caller holds a.mu.
 func (a *Agent) draining() bool {
 	return a.announced.Draining && a.announced.Worker == a.state.worker
--- a/internal/jobagt/run.go
+++ b/internal/jobagt/run.go
@@ -15,6 +15,9 @@
 const (
 	orderTimeout       = time.Second            // for the worker's answer to an order
 	orderRetryInterval = 100 * time.Millisecond // between two attempts
+	// minStartLease is the least time that is left of the lease of a start. A start that reaches the
+	// worker's next incarnation has to be found and stopped within it.
+	minStartLease = time.Second
 )
 
 // pendingRun is a run for which the leader has sent an order.
@@ -80,6 +83,16 @@
 	return dropped
 }
 
+// inheritRuns adds the runs that an earlier incarnation of the worker was ordered to start, as runs to be
+// stopped. Orders name a worker by its id only, so an order for the earlier incarnation may still start a run.
+func (s *workerState) inheritRuns(earlier map[runKey]*pendingRun) {
+	for k := range earlier {
+		s.runs[k] = &pendingRun{
+			order: StartOrder{Task: k.task, Run: k.run}, startInDoubt: true, stopWanted: true, reason: "ordered to an earlier incarnation",
+		}
+	}
+}
+
 // dropRun removes a run and queues a report that it is gone.
 func (s *workerState) dropRun(k runKey, reason string) {
 	delete(s.runs, k)
@@ -199,6 +212,7 @@
 		start.LeaseEnd = min(r.grantEnd, a.renewLease())
 	}
 	draining := a.announced.Draining || a.announced.Worker != worker
+	answering, leaseLeft := a.state.misses == 0, a.leaseLeft(start.LeaseEnd)
 	a.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
@@ -207,7 +221,12 @@
 		return a.attemptStop(ctx, worker, term, k, r)
 	case draining:
 		return a.rejectStart(k, r, "worker drains")
-	case start.LeaseEnd == 0:
+	case start.LeaseEnd == 0 || !answering:
+		// The next incarnation of a worker that doesn't answer would execute the order.
+		return false
+	case leaseLeft <= 0:
+		return a.rejectStart(k, r, string(ResultLeaseEnded))
+	case leaseLeft < min(minStartLease, a.cfg.leaseTerms().Renewal()/4):
 		return false
 	}
 	result, err := a.worker.Start(ctx, worker, start)
@@ -219,6 +238,9 @@
 			r.startInDoubt = true
 			a.mu.Unlock()
 		}
+		if errors.Is(err, ErrOtherIncarnation) {
+			a.triggerHold()
+		}
 		return false
 	}
 	a.log.Info("start answered", zap.String("request", jobOf(k.task)), zap.String("task", k.task), zap.Int("run", k.run),
--- a/internal/jobagt/worker.go
+++ b/internal/jobagt/worker.go
@@ -15,6 +15,8 @@
 var (
 	// ErrOtherWorker means that another worker answers at the address.
 	ErrOtherWorker = errors.New("another worker answers there")
+	// ErrOtherIncarnation means that another incarnation of the worker has executed the order.
+	ErrOtherIncarnation = errors.New("another incarnation of the worker answers")
 	// ErrNoListener means that nothing listens at the address.
 	ErrNoListener = errors.New("nothing listens there")
 )
@@ -97,6 +99,9 @@
 
 // Worker sends orders to a worker. After an error other than ErrOtherWorker and
 // ErrNoListener it is unknown whether the order was or will be executed.
+//
+// Orders name the worker but not its incarnation, so any incarnation may execute them. Only a
+// listing always says which one has answered.
 type Worker interface {
 	Hold(ctx context.Context, w jobs.Worker, h HoldOrder) (Listing, error)
 	Start(ctx context.Context, w jobs.Worker, s StartOrder) (StartResult, error)
--- a/internal/jobctl/hosts.go
+++ b/internal/jobctl/hosts.go
@@ -38,6 +38,8 @@
 	startsSent map[runKey]time.Time  // when starts were ordered on this stream
 	stopsSent  map[runKey]time.Time  // when stops were ordered on this stream
 	endsAcked  uint64                // ends up to this number were acknowledged on this stream
+	// earlierLeaseEnd is when leases by orders for earlier incarnations of the worker have ended for certain.
+	earlierLeaseEnd time.Time
 }
 
 // hostDump is the state of a host in a dump.
@@ -198,17 +200,20 @@
 			zap.String("before", h.worker.Name), zap.Strings("labels", report.Labels), zap.Int64("cpu", report.Cpu),
 			zap.Int64("accels", report.Accels), zap.Uint64("term", l.term))
 		h.resetOrders()
+		l.noteIncarnation(h, w, now)
 	}
 	if previous != nil && (report.Draining != previous.Draining || report.Lost != previous.Lost) {
 		l.log.Info("worker changed state", zap.String("host", h.name), zap.String("worker", w.Name),
 			zap.Bool("draining", report.Draining), zap.Bool("lost", report.Lost), zap.Int64("seq", report.Seq))
 	}
+	h.report, h.worker, h.reportedAt = report, w, now
 	for _, gone := range report.Gone {
-		h.unstarted = append(h.unstarted, jobs.UnstartedRun{Worker: w, Task: gone.Task, Run: int(gone.Run)})
+		u := jobs.UnstartedRun{Task: gone.Task, Run: int(gone.Run)}
+		l.c.state.Read(func(v jobs.View) { u.Worker = h.recordedFor(v, runKey{u.Task, u.Run}) })
+		h.unstarted = append(h.unstarted, u)
 		l.log.Info("run never started", zap.String("request", jobOf(gone.Task)), zap.String("task", gone.Task), zap.Uint32("run", gone.Run),
-			zap.String("worker", w.Name), zap.String("reason", gone.Reason))
+			zap.String("worker", w.Name), zap.Int64("born", u.Worker.StartedMs), zap.String("reason", gone.Reason))
 	}
-	h.report, h.worker, h.reportedAt = report, w, now
 	return l.updateProgress(report, now) || replan
 }
 
@@ -249,7 +254,7 @@
 			h := l.hosts[name]
 			cmd.Unstarted = append(cmd.Unstarted, h.unstarted...)
 			if e, ok := unrecordedEnds(v, h); ok {
-				cmd.Ends = append(cmd.Ends, e)
+				cmd.Ends = append(append(cmd.Ends, h.endsOfEarlierIncarnations(v, e.Ends)...), e)
 			}
 		}
 		for w, record := range v.Workers() {
@@ -293,13 +298,13 @@
 	switch {
 	case ok && h.report != nil && h.worker == w && h.report.Lost:
 		return "gone"
-	case ok && h.report != nil && h.worker != w && h.report.Listed:
+	case ok && h.report != nil && h.worker != w && h.report.Listed && (h.worker.Name != w.Name || len(record.Runs) == 0):
 		return "another one is in its place"
 	case l.leaseEnds[w].IsZero():
 		// This leader has not granted a lease yet. A lease granted by an earlier
 		// leader ends no later than one granted now.
 		l.leaseEnds[w] = l.c.cfg.leaseEnd(now, false)
-	case now.After(l.leaseEnds[w]):
+	case now.After(l.certainLeaseEnd(w, record)):
 		return "lease ended"
 	}
 	return ""
--- a/internal/jobctl/input.go
+++ b/internal/jobctl/input.go
@@ -92,6 +92,7 @@
 // planWorkers returns the workers that have reported, with their runs.
 func (l *leader) planWorkers(v jobs.View, guaranteed map[string]bool, now time.Time, wallMs int64) []allot.Worker {
 	var list []allot.Worker
+	unassigned := l.unassignedRuns(v)
 	for _, name := range slices.Sorted(maps.Keys(l.hosts)) {
 		h := l.hosts[name]
 		if h.report == nil || h.worker.Zero() || !h.report.Listed {
@@ -115,6 +116,11 @@
 				}
 			}
 		}
+		for _, k := range unassigned[name].sorted() {
+			if r, ok := unassignedPlanRun(v, k); ok {
+				w.Runs = append(w.Runs, r)
+			}
+		}
 		list = append(list, w)
 	}
 	return list
--- a/internal/jobctl/orders.go
+++ b/internal/jobctl/orders.go
@@ -35,17 +35,18 @@
 	defer l.mu.Unlock()
 	runs := 0
 	l.c.state.Read(func(v jobs.View) {
+		unassigned := l.unassignedRuns(v)
 		for _, name := range slices.Sorted(maps.Keys(l.hosts)) {
 			h := l.hosts[name]
 			record, ok := v.WorkerRecord(h.worker)
 			if !ok {
-				continue
+				record = &jobs.WorkerRecord{}
 			}
 			runs += len(record.Runs)
 			if h.orders == nil || h.report == nil || !h.report.Listed {
 				continue
 			}
-			if o := l.ordersFor(v, h, record); o != nil {
+			if o := l.ordersFor(v, h, record, unassigned[name]); o != nil {
 				l.queueOrders(h, o)
 			}
 		}
@@ -53,20 +54,22 @@
 	l.c.metrics.runs.Update(float64(runs))
 }
 
-// ordersFor returns the orders to send to a host, nil if there are none. The caller
-// holds mu.
-func (l *leader) ordersFor(v jobs.View, h *host, record *jobs.WorkerRecord) *wire.HostOrders {
+// ordersFor returns the orders to send to a host, nil if there are none. Besides the runs in the
+// worker's record it takes those to be stopped that aren't. The caller holds mu.
+func (l *leader) ordersFor(v jobs.View, h *host, record *jobs.WorkerRecord, unassigned runsToStop) *wire.HostOrders {
 	o := &wire.HostOrders{Seen: record.LastRecordedEnd}
 	now := l.now()
+	for _, k := range unassigned.sorted() {
+		if st := l.stopOrder(h, k, unassigned[k], now); st != nil {
+			o.Stops = append(o.Stops, st)
+		}
+	}
 	for _, task := range slices.Sorted(maps.Keys(record.Runs)) {
 		run := record.Runs[task]
 		k := runKey{task, run}
 		if reason := l.stopReason(v, task, run); reason != "" {
-			if now.Sub(h.stopsSent[k]) > orderRetryInterval {
-				h.stopsSent[k] = now
-				o.Stops = append(o.Stops, &wire.RunStop{Task: task, Run: uint32(run)})
-				l.log.Info("stop ordered", zap.String("request", jobOf(task)), zap.String("task", task), zap.Int("run", run),
-					zap.String("worker", h.worker.Name), zap.String("why", reason), zap.Uint64("term", l.term))
+			if st := l.stopOrder(h, k, reason, now); st != nil {
+				o.Stops = append(o.Stops, st)
 			}
 			continue
 		}
@@ -82,12 +85,23 @@
 		return nil
 	}
 	h.endsAcked = record.LastRecordedEnd
-	ended := func(k runKey, _ time.Time) bool { return record.Runs[k.task] != k.run }
+	ended := func(k runKey, _ time.Time) bool { return record.Runs[k.task] != k.run && unassigned[k] == "" }
 	maps.DeleteFunc(h.startsSent, ended)
 	maps.DeleteFunc(h.stopsSent, ended)
 	return o
 }
 
+// stopOrder returns the order to stop a run, nil if it was sent a short while ago. The caller holds mu.
+func (l *leader) stopOrder(h *host, k runKey, reason string, now time.Time) *wire.RunStop {
+	if now.Sub(h.stopsSent[k]) <= orderRetryInterval {
+		return nil
+	}
+	h.stopsSent[k] = now
+	l.log.Info("stop ordered", zap.String("request", jobOf(k.task)), zap.String("task", k.task), zap.Int("run", k.run),
+		zap.String("worker", h.worker.Name), zap.String("why", reason), zap.Uint64("term", l.term))
+	return &wire.RunStop{Task: k.task, Run: uint32(k.run)}
+}
+
 // startOrder returns the order to start a run, nil if its job is unknown. The caller
 // holds mu.
 func (l *leader) startOrder(v jobs.View, task string, run int) *wire.RunStart {
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -61,6 +61,15 @@
 	OccurrencesDone int                 `json:"done,omitempty"` // number of occurrences that are done
 }
 
+// Task returns the progress of a task, false if its occurrence hasn't started or there is no such task.
+func (j *Job) Task(id TaskID) (*Task, bool) {
+	o, ok := j.Occurrences[id.Occur]
+	if !ok || id.Step >= len(o.Steps) || id.Index >= len(o.Steps[id.Step].Tasks) {
+		return nil, false
+	}
+	return &o.Steps[id.Step].Tasks[id.Index], true
+}
+
 // Occurrence is the progress of one occurrence of a job.
 type Occurrence struct {
 	Steps []StepRecord `json:"steps"` // by index in Spec.Steps
