jobagt: the incarnation that answers counts, not the one with the latest start time

Cause: the agent took the announced incarnation with the highest start time for the newest.

Change: an announced worker is tried whatever its start time, and is there once it answers a hold. An incarnation that had answered before another one is over for good; late announcements of it are ignored. If the worker that answered before answers again, the announcement is withdrawn and the latest one of the worker that answers is in force. One worker at a time listens at the address, so the last answer decides without any clock. While it isn't known which worker is there, orders wait; starts were rejected, and stopped if in doubt.

--- a/internal/jobagt/agent.go
+++ b/internal/jobagt/agent.go
@@ -47,6 +47,7 @@
 	exitReported bool         // the announced worker has reported that it exits now
 	state        workerState
 	term         uint64        // highest term of a leader that sent orders
+	replaced     []jobs.Worker // incarnations that have answered and were replaced, the latest last
 	startedAt    time.Time     // of this process
 	reportDue    chan struct{} // closed when a report to the leader is due
 	holdDue      chan struct{} // receives a value when a hold is due before its time
@@ -161,48 +162,3 @@
 	default:
 	}
 }
-
-// Announce implements AnnouncementReceiver. It ignores an announcement that
-// arrives after a newer one.
-func (a *Agent) Announce(ann Announcement) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	old := a.announced
-	if ann.Worker == old.Worker && ann.Seq <= old.Seq || ann.Worker.StartedMs < old.Worker.StartedMs {
-		a.log.Info("old announcement ignored", zap.String("worker", ann.Worker.Name), zap.Int64("born", ann.Worker.StartedMs),
-			zap.Int64("seq", ann.Seq), zap.Int64("newest", old.Seq))
-		return
-	}
-	a.announced, a.earliestExit = ann, time.Time{}
-	if ann.Draining && ann.RemainMs > 0 {
-		a.earliestExit = a.env.BootClock.Now().Add(time.Duration(ann.RemainMs) * time.Millisecond)
-	}
-	if ann.Worker != old.Worker || ann.Draining != old.Draining {
-		a.log.Info("worker announced", zap.String("worker", ann.Worker.Name), zap.Int64("born", ann.Worker.StartedMs), zap.Int64("seq", ann.Seq),
-			zap.Bool("draining", ann.Draining), zap.Int64("remain", ann.RemainMs), zap.String("service", ann.Service))
-		if ann.Worker != old.Worker || !ann.Draining {
-			// The report of an exit may have come late, from an earlier incarnation: it names only the worker.
-			a.exitReported = false
-		}
-		if a.draining() {
-			a.cutGrant()
-		}
-		a.triggerReport()
-		a.triggerHold()
-	}
-}
-
-// Leave implements AnnouncementReceiver. An announcement as ready that follows takes it back.
-func (a *Agent) Leave(worker string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if worker != a.announced.Worker.Name {
-		return
-	}
-	a.exitReported = true
-	a.announced.Draining = true
-	a.cutGrant()
-	a.log.Info("worker leaves", zap.String("worker", worker))
-	a.triggerReport()
-	a.triggerHold()
-}
--- a/internal/jobagt/hold.go
+++ b/internal/jobagt/hold.go
@@ -149,24 +149,6 @@
 	a.triggerReport()
 }
 
-// withdrawAnnouncement drops an announcement of a worker that isn't there: it came from somebody
-// else, or from a worker that has exited. The last confirmed announcement takes its place. It
-// reports whether there was one to drop. The caller holds a.mu.
-func (a *Agent) withdrawAnnouncement(worker jobs.Worker) bool {
-	if a.announced.Worker != worker || a.confirmed.Worker == worker {
-		return false
-	}
-	a.announced = Announcement{} // any worker may announce itself next
-	if a.confirmed.Worker == a.state.worker {
-		a.announced = a.confirmed
-	}
-	a.log.Warn("announcement withdrawn: another worker answers", zap.String("worker", worker.Name), zap.Int64("born", worker.StartedMs),
-		zap.String("confirmed", a.announced.Worker.Name))
-	a.triggerReport()
-	a.triggerHold()
-	return true
-}
-
 // maxMisses is the highest number of consecutive unanswered holds at which
 // the worker still gets new runs. A single lost packet causes one.
 const maxMisses = 1
@@ -177,6 +159,7 @@
 // beginIncarnation begins the state of the worker that has answered for the first time. The caller holds a.mu.
 func (a *Agent) beginIncarnation(listing Listing) {
 	earlier := a.state
+	a.noteReplaced(earlier.worker)
 	a.state = workerState{worker: listing.Worker, runs: map[runKey]*pendingRun{}}
 	if earlier.worker.Name != listing.Worker.Name {
 		return // the new worker rejects orders for the earlier one
@@ -199,9 +182,7 @@
 	becameUsable := !state.usable()
 	newEnds := len(listing.Ends) > 0 && (len(state.lastListing.Ends) == 0 || listing.Ends[len(listing.Ends)-1].Number > state.lastListing.Ends[len(state.lastListing.Ends)-1].Number)
 	state.listed, state.misses, state.refusals, state.lost = true, 0, 0, false
-	if a.announced.Worker == listing.Worker {
-		a.confirmed = a.announced
-	}
+	a.noteAnswer(listing.Worker)
 	state.lastListing, state.listedAt = listing, a.env.BootClock.Now()
 	state.listingCount++
 	dropped := state.dropStopped(a.log)
--- a/internal/jobagt/run.go
+++ b/internal/jobagt/run.go
@@ -211,7 +211,7 @@
 	if !stop {
 		start.LeaseEnd = min(r.grantEnd, a.renewLease())
 	}
-	draining := a.announced.Draining || a.announced.Worker != worker
+	draining, otherAnnounced := a.announced.Draining, a.announced.Worker != worker
 	answering, leaseLeft := a.state.misses == 0, a.leaseLeft(start.LeaseEnd)
 	a.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -219,6 +219,9 @@
 	switch {
 	case stop:
 		return a.attemptStop(ctx, worker, term, k, r)
+	case otherAnnounced:
+		// A hold will show which worker is there.
+		return false
 	case draining:
 		return a.rejectStart(k, r, "worker drains")
 	case start.LeaseEnd == 0 || !answering:
