contrl: epochs of probe tasks follow the platform's, not the time of day

Cause: the epoch of a probe was the time of day in milliseconds, so that orders two probes.

Change: a probe takes the leader's term; if the platform has seen a higher epoch, as after probes of earlier releases, the next one after that.

--- a/internal/contrl/fleet.go
+++ b/internal/contrl/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/knapweedlug/knapweedlug/internal/platf"
@@ -95,16 +96,11 @@
 
 // runProbeTask reports whether a short task succeeded on the worker.
 func (l *leader) runProbeTask(ctx context.Context, worker string) bool {
-	now := l.c.env.Clock.Now()
-	epoch := uint64(now.UnixMilli())
-	job := wire.ProbePrefix + worker
-	task, err := l.c.platform.Hold(ctx, platf.HoldRequest{
-		Worker: worker, Job: job, Epoch: epoch, Cores: 1, Deadline: now.Add(probeTimeout),
-	})
+	task, err := l.holdForProbe(ctx, worker)
 	if err != nil {
 		return false
 	}
-	if _, err := l.c.platform.Start(ctx, task.ID, platf.StartRequest{Epoch: epoch, Command: probeCommand}); err != nil {
+	if _, err := l.c.platform.Start(ctx, task.ID, platf.StartRequest{Epoch: task.Epoch, Command: probeCommand}); err != nil {
 		return false
 	}
 	t := time.NewTicker(probePollInterval)
@@ -121,6 +117,21 @@
 	}
 }
 
+// holdForProbe takes a lease for a probe task. The epochs of a worker's probes follow the highest that the
+// platform has seen; earlier releases used the time of day, which may be set back.
+func (l *leader) holdForProbe(ctx context.Context, worker string) (platf.Task, error) {
+	req := platf.HoldRequest{
+		Worker: worker, Job: wire.ProbePrefix + worker, Epoch: l.term, Cores: 1, Deadline: l.c.env.Clock.Now().Add(probeTimeout),
+	}
+	task, err := l.c.platform.Hold(ctx, req)
+	var refusal *platf.Refusal
+	if errors.As(err, &refusal) && refusal.Code == platf.CodeFenced {
+		req.Epoch = refusal.Epoch + 1
+		task, err = l.c.platform.Hold(ctx, req)
+	}
+	return task, errors.Wrap(err, "hold for a probe")
+}
+
 // probeState returns the state of the task. If the tasks can't be read, it is
 // taken to be running still.
 func (l *leader) probeState(ctx context.Context, worker, id string) platf.TaskState {
