jobs, jobctl: a job has begun when a worker has, not when its start is decided

Cause: the commit of an assignment made the job active, and nothing took that back when the worker refused the start, never got it, or was lost before.

Change: a job becomes active when a worker lists a run of it, which the leader records with its next command, or when a run ends in a way that only a begun run can. For the same reason the time for which nothing of a job has run no longer begins anew with each refused start, and a run that isn't listed yet has done no work that a stop would lose. A listing can't be undone, and comes again after a takeover.

Tests: on the sources before, with the new field added to the command, these fail: TestJobIsPendingUntilAWorkerHasBegunIt (5 of 10 parts), TestJobIsIdleWhileItsStartsAreRefused (both), TestListedRunMakesItsJobBegun (both), TestRunThatHasNotBegunHasNothingToLose, and TestJobFromSubmitToComplete, which demanded active as soon as the start was ordered. It now demands pending until the worker lists the run, and active afterwards.

--- a/internal/jobctl/hosts.go
+++ b/internal/jobctl/hosts.go
@@ -242,8 +242,8 @@
 	}
 }
 
-// collectUnrecorded returns a command with all ends, unstarted runs and lost workers that
-// aren't recorded yet, and whether there are any.
+// collectUnrecorded returns a command with all ends, unstarted runs, lost workers and begun jobs
+// that aren't recorded yet, and whether there are any.
 func (l *leader) collectUnrecorded() (jobs.Command, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -266,7 +266,8 @@
 			}
 		}
 	})
-	return cmd, len(cmd.Unstarted)+len(cmd.Ends)+len(cmd.LostWorkers) > 0
+	cmd.BegunJobs = slices.Sorted(maps.Keys(l.begunJobs))
+	return cmd, len(cmd.Unstarted)+len(cmd.Ends)+len(cmd.LostWorkers)+len(cmd.BegunJobs) > 0
 }
 
 // unrecordedEnds returns the ends in the latest report that aren't recorded yet.
@@ -342,6 +343,9 @@
 			l.finishRun(e.Worker, end, now)
 		}
 	}
+	for _, id := range cmd.BegunJobs {
+		delete(l.begunJobs, id)
+	}
 	for _, lost := range cmd.LostWorkers {
 		l.learner.ForgetWorker(lost.Worker)
 		delete(l.leaseEnds, lost.Worker)
@@ -395,6 +399,10 @@
 				continue
 			}
 		}
+		if !run.begun {
+			run.begun = true
+			l.noteBegun(run.job, now)
+		}
 		run.stallDetector = run.stallDetector.WithProgress(int(r.Percent), now)
 		elapsed := now.Sub(run.startedAt)
 		var updated bool
@@ -414,6 +422,18 @@
 	return replan
 }
 
+// noteBegun notes that a worker has begun a run of a job. It doesn't wake the leader: the next plan, which isn't far,
+// records it. The caller holds mu.
+func (l *leader) noteBegun(id string, now time.Time) {
+	l.c.state.Read(func(v jobs.View) {
+		if j, ok := v.Job(id); ok && j.Phase == jobs.Pending && !l.begunJobs[id] {
+			l.begunJobs[id] = true
+			l.c.metrics.timeToStart.RecordDuration(now.Sub(l.acceptedAt(j)))
+			l.log.Info("job begun", zap.String("request", id), zap.String("queue", j.Queue), zap.Duration("after", now.Sub(l.acceptedAt(j))), zap.Uint64("term", l.term))
+		}
+	})
+}
+
 // adoptRun starts to track a run that an earlier leader started. For a rack-local step it
 // waits until the racks of all its running tasks are known. The caller holds mu.
 func (l *leader) adoptRun(report *wire.HostReport, k runKey, now time.Time) (activeRun, bool) {
--- a/internal/jobctl/input.go
+++ b/internal/jobctl/input.go
@@ -146,6 +146,9 @@
 	elapsed := duration / 2 // unknown if an earlier leader started the run
 	if active, ok := l.runs[runKey{task, run}]; ok {
 		elapsed = now.Sub(active.startedAt)
+		if !active.begun {
+			elapsed = 0
+		}
 		duration = time.Duration(float64(duration) * active.slowdown)
 	}
 	r.Remaining = max(duration-elapsed, duration/4)
@@ -197,13 +200,19 @@
 			}
 			step := jobs.TaskID{Job: j.ID, Occur: k, Step: i}
 			p, ok := l.pendingStep(j, k, i, o)
+			awaiting := 0
+			if j.Spec.Steps[i].LongRunning && started {
+				awaiting = l.countAwaitingBegin(step, o.Steps[i].Tasks)
+			}
 			if !ok {
-				delete(l.shortages, step)
+				if awaiting == 0 {
+					delete(l.shortages, step)
+				}
 				continue
 			}
 			p.Guaranteed, p.IdleSince = guaranteed, idleSince
 			if p.LongRunning {
-				p.IdleSince = l.stepIdleSince(step, len(p.Indexes))
+				p.IdleSince = l.stepIdleSince(step, len(p.Indexes)+awaiting)
 			}
 			p.ReadyAt = l.readySince(step)
 			if j.Spec.RepeatCount == 0 && len(j.Spec.Steps[i].DependsOn) == 0 {
@@ -219,16 +228,27 @@
 	return list
 }
 
-// idleSince returns since when no task of a job has been running, zero if one is.
+// idleSince returns since when no task of a job has been running, zero if one is or may
+// be. A start that a worker refuses doesn't end that time.
 func (l *leader) idleSince(j *jobs.Job) time.Time {
-	for _, o := range j.Occurrences {
+	assigned := false
+	for k, o := range j.Occurrences {
 		for i := range o.Steps {
-			if slices.ContainsFunc(o.Steps[i].Tasks, func(t jobs.Task) bool { return !t.Worker.Zero() }) {
-				delete(l.idleTimes, j.ID)
-				return time.Time{}
+			for index, t := range o.Steps[i].Tasks {
+				if t.Worker.Zero() {
+					continue
+				}
+				assigned = true
+				if !l.awaitsBegin(jobs.TaskID{Job: j.ID, Occur: k, Step: i, Index: index}, t.Run) {
+					delete(l.idleTimes, j.ID)
+					return time.Time{}
+				}
 			}
 		}
 	}
+	if assigned {
+		return time.Time{}
+	}
 	at, ok := l.idleTimes[j.ID]
 	if !ok {
 		at = l.now()
@@ -237,15 +257,34 @@
 	return at
 }
 
-// stepIdleSince returns since when tasks of a long-running step have been waiting. All
-// of its tasks have to run all the time, so running ones don't count. The time restarts
-// when the number of waiting tasks falls.
-func (l *leader) stepIdleSince(step jobs.TaskID, waiting int) time.Time {
+// awaitsBegin reports whether this leader has started a run that its worker hasn't listed yet. The caller holds mu.
+func (l *leader) awaitsBegin(task jobs.TaskID, run int) bool {
+	active, ok := l.runs[runKey{task.String(), run}]
+	return ok && !active.begun
+}
+
+// countAwaitingBegin returns the number of tasks of a step that were started and that no worker has listed yet. The
+// caller holds mu.
+func (l *leader) countAwaitingBegin(step jobs.TaskID, tasks []jobs.Task) int {
+	n := 0
+	for index, t := range tasks {
+		step.Index = index
+		if !t.Worker.Zero() && l.awaitsBegin(step, t.Run) {
+			n++
+		}
+	}
+	return n
+}
+
+// stepIdleSince returns since when tasks of a long-running step have been missing, that is
+// waiting or started and not begun. All of its tasks have to run all the time, so running
+// ones don't count. The time restarts when the number of missing tasks falls.
+func (l *leader) stepIdleSince(step jobs.TaskID, missing int) time.Time {
 	w, ok := l.shortages[step]
-	if !ok || waiting < w.tasks {
+	if !ok || missing < w.tasks {
 		w.since = l.now()
 	}
-	w.tasks = waiting
+	w.tasks = missing
 	l.shortages[step] = w
 	return w.since
 }
--- a/internal/jobctl/leader.go
+++ b/internal/jobctl/leader.go
@@ -23,10 +23,10 @@
 
 var errTermEnded = errors.New("another term has begun")
 
-// shortage describes the waiting tasks of a long-running step.
+// shortage describes the missing tasks of a long-running step.
 type shortage struct {
-	tasks int       // number of waiting tasks
-	since time.Time // since when tasks have been waiting, or when their number last fell
+	tasks int       // number of missing tasks
+	since time.Time // since when tasks have been missing, or when their number last fell
 }
 
 // runKey identifies a run.
@@ -47,6 +47,7 @@
 	singleWorker  bool    // all tasks that were started together with it are on the same worker
 	gang          bool
 	startOrdered  bool                // its start has been ordered
+	begun         bool                // its worker has listed it
 	stallDetector allot.StallDetector // detects that the run makes no progress
 	progressRate  allot.ProgressRate  // predicts the duration of the run from its progress
 	estimate      time.Duration       // the caller's estimate
@@ -72,6 +73,7 @@
 	runs             map[runKey]activeRun
 	stopping         map[runKey]string               // runs to be stopped, with the job that needs the resources or another reason
 	leaseEnds        map[jobs.Worker]time.Time       // when the leases have ended for certain
+	begunJobs        map[string]bool                 // jobs that have begun, which isn't recorded yet
 	acceptTimes      map[string]time.Time            // when jobs were accepted, by the local clock
 	readyTimes       map[jobs.TaskID]time.Time       // since when steps have been ready to start
 	idleTimes        map[string]time.Time            // since when no task of a job has been running
@@ -87,7 +89,7 @@
 	return &leader{
 		c: c, term: term, replacementPolicy: c.cfg.replacementPolicy(), log: c.env.Log, startedAt: c.env.BootClock.Now(), wakeup: make(chan struct{}, 1),
 		hosts: map[string]*host{}, learner: allot.NewLearner(), runs: map[runKey]activeRun{},
-		stopping: map[runKey]string{}, leaseEnds: map[jobs.Worker]time.Time{}, acceptTimes: map[string]time.Time{}, readyTimes: map[jobs.TaskID]time.Time{},
+		stopping: map[runKey]string{}, leaseEnds: map[jobs.Worker]time.Time{}, begunJobs: map[string]bool{}, acceptTimes: map[string]time.Time{}, readyTimes: map[jobs.TaskID]time.Time{},
 		idleTimes: map[string]time.Time{}, shortages: map[jobs.TaskID]shortage{},
 		endTimes: map[string]time.Time{}, loggedVerdicts: map[string]allot.Verdict{},
 		failedOn: map[string]map[jobs.Worker]bool{},
@@ -267,9 +269,6 @@
 			zap.String("worker", p.Worker.Name), zap.String("host", p.Host), zap.String("rack", racks[p.Worker]),
 			zap.Float64("factor", slowdown), zap.Float64("speed", l.learner.Speed(p.Worker)), zap.Duration("work", duration), zap.String("saved", checkpoint), zap.Duration("waited", now.Sub(l.acceptedAt(j))), zap.Uint64("term", l.term))
 	}
-	if run == 1 {
-		l.c.metrics.timeToStart.RecordDuration(now.Sub(l.acceptedAt(j)))
-	}
 }
 
 // acceptedAt returns when a job was accepted, by the local monotonic clock. It is
--- a/internal/jobctl/metrics.go
+++ b/internal/jobctl/metrics.go
@@ -13,7 +13,7 @@
 type metrics struct {
 	scope         tally.Scope     // for the counters of calls and ended runs, which have tags
 	commitTime    tally.Histogram // from the proposal of a command until it is applied
-	timeToStart   tally.Histogram // from acceptance of a job to its first start
+	timeToStart   tally.Histogram // from acceptance of a job until a worker has begun it
 	timeToEnd     tally.Histogram // from acceptance of a job to its end
 	planTime      tally.Histogram // time to make a plan
 	leading       tally.Gauge     // 1 while this replica leads, otherwise 0
--- a/internal/jobs/command.go
+++ b/internal/jobs/command.go
@@ -27,7 +27,8 @@
 	Unstarted   []UnstartedRun `json:"gone,omitempty"`
 	LostWorkers []LostWorker   `json:"lost,omitempty"`
 	Starts      []Start        `json:"starts,omitempty"`
-	DropJobs    []string       `json:"drop,omitempty"` // ids of ended jobs to delete
+	BegunJobs   []string       `json:"begun,omitempty"` // ids of jobs of which a worker has listed a run
+	DropJobs    []string       `json:"drop,omitempty"`  // ids of ended jobs to delete
 
 	Estimates *Estimates `json:"learned,omitempty"`
 }
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -6,7 +6,7 @@
 // The phases of a job.
 const (
 	Pending  Phase = "pending"  // no task has started
-	Active   Phase = "active"   // a task has started
+	Active   Phase = "active"   // a worker has begun a run of a task
 	Complete Phase = "complete" // all tasks have succeeded
 	Failed   Phase = "failed"   // a task has used up its attempts
 	Canceled Phase = "canceled"
@@ -31,6 +31,10 @@
 	RunNeverStarted   RunOutcome = "refused" // it never started and no longer can
 )
 
+// Begun reports whether a run that ended in this way has begun for certain. One that was lost with its worker may
+// never have reached it.
+func (o RunOutcome) Begun() bool { return o != RunLost && o != RunNeverStarted }
+
 // Worker identifies one incarnation of a worker: a restart changes its start time.
 type Worker struct {
 	Name      string `json:"name"`
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -131,6 +131,11 @@
 		run, refusal := d.start(st)
 		res.Runs, res.Refusals = append(res.Runs, run), append(res.Refusals, refusal)
 	}
+	for _, id := range c.BegunJobs {
+		if j, ok := d.Jobs[id]; ok {
+			j.begin()
+		}
+	}
 	for _, id := range c.DropJobs {
 		if j, ok := d.Jobs[id]; ok && j.Phase.Ended() {
 			delete(d.Jobs, id)
@@ -180,6 +185,14 @@
 	return j.Phase, nil
 }
 
+// begin notes that a worker has begun a run of the job. That a run was assigned to a worker doesn't count: the worker
+// may refuse it, or be lost before.
+func (j *Job) begin() {
+	if j.Phase == Pending {
+		j.Phase = Active
+	}
+}
+
 // end ends the job in phase p.
 func (j *Job) end(p Phase, nowMs int64) { j.Phase, j.EndedMs = p, nowMs }
 
@@ -245,6 +258,9 @@
 		return
 	}
 	t.Worker = Worker{}
+	if outcome.Begun() || checkpoint != "" {
+		j.begin()
+	}
 	j.recordRunEnd(id, r, t, outcome, checkpoint)
 	j.updatePhase(id, o, nowMs)
 }
@@ -334,7 +350,6 @@
 		t := &j.occurrence(p.Task.Occur).Steps[p.Task.Step].Tasks[p.Task.Index]
 		t.Run, t.Worker = run, p.Worker
 		d.workerRecord(p.Worker, p.Host).Runs[p.Task.String()] = run
-		j.Phase = Active
 	}
 	return run, ""
 }
--- a/internal/jobs/view.go
+++ b/internal/jobs/view.go
@@ -63,7 +63,7 @@
 	return estimates
 }
 
-// PendingCount returns the number of jobs of a queue of which no task has started.
+// PendingCount returns the number of jobs of a queue of which no worker has begun a task.
 func (v View) PendingCount(queue string) int {
 	n := 0
 	for _, j := range v.data.Jobs {
