jobctl: TestOrdersWaitForTheFirstReport waits until its stream is in use

The test submitted B as soon as it had opened the second stream, while the leader could still use the first one and order B there. Nothing that it demands has changed.

--- a/internal/jobctl/control_test.go
+++ b/internal/jobctl/control_test.go
@@ -231,11 +231,11 @@
 	require.Len(t, first.orders().Starts, 1)
 
 	second := s.openAgentStream("h1")
-	require.Equal(t, string(jobs.Accepted), s.call(caller, jobs.CallSubmit, "/q/"+idB, oneTask()).Outcome)
 	o := &wire.HostOrders{}
-	require.NoError(t, second.st.Recv(o))
+	require.NoError(t, second.st.Recv(o)) // from here on the leader uses this stream
 	require.NotZero(t, o.Term, "an agent needs the term before its first report, because its worker rejects older terms")
 	require.Empty(t, o.Starts)
+	require.Equal(t, string(jobs.Accepted), s.call(caller, jobs.CallSubmit, "/q/"+idB, oneTask()).Outcome)
 	_ = second.st.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
 	require.Error(t, second.st.Recv(o), "orders were sent before the first report")
 	_ = second.st.SetReadDeadline(time.Now().Add(testTimeout))
