jobctl: a worker that refuses a start as unavailable is left alone for a moment

The same start is ordered again some 440 times a second, each time by way of the log, and a job of one task waited for as long as the worker refused, while nine others were idle.

Cause: a start that was refused left no trace in the input of the next plan.

Change: such a worker gets no start for 0.2 s, and is one of the last choices for 2 s. It isn't avoided for longer: it may be the only one with room.

--- a/internal/jobagt/worker.go
+++ b/internal/jobagt/worker.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/knapweedlug/knapweedlug/internal/jobctl"
 	"github.com/knapweedlug/knapweedlug/internal/jobs"
 	"github.com/knapweedlug/knapweedlug/internal/kern"
 )
@@ -87,14 +88,14 @@
 // The answers to an order to start. After any of them but ResultStarted, the
 // worker has changed nothing.
 const (
-	ResultStarted     StartResult = "begun"    // the run has started
-	ResultFenced      StartResult = "fenced"   // the worker has received orders of a newer leader
-	ResultOutdated    StartResult = "outdated" // this run or a later one of the task has ended or was stopped on the worker
-	ResultLeaseEnded  StartResult = "late"     // the lease has ended
-	ResultFull        StartResult = "full"     // the worker has no room
-	ResultNoTicket    StartResult = "noticket" // the worker refuses the run for lack of a ticket
-	ResultMalformed   StartResult = "unfit"    // the worker could not understand the order
-	ResultUnavailable StartResult = "unwell"   // the worker is overloaded or unavailable
+	ResultStarted     StartResult = "begun"                  // the run has started
+	ResultFenced      StartResult = "fenced"                 // the worker has received orders of a newer leader
+	ResultOutdated    StartResult = "outdated"               // this run or a later one of the task has ended or was stopped on the worker
+	ResultLeaseEnded  StartResult = "late"                   // the lease has ended
+	ResultFull        StartResult = "full"                   // the worker has no room
+	ResultNoTicket    StartResult = "noticket"               // the worker refuses the run for lack of a ticket
+	ResultMalformed   StartResult = "unfit"                  // the worker could not understand the order
+	ResultUnavailable StartResult = jobctl.ReasonUnavailable // the worker is overloaded or unavailable
 )
 
 // Worker sends orders to a worker. After an error other than ErrOtherWorker and
--- a/internal/jobctl/hosts.go
+++ b/internal/jobctl/hosts.go
@@ -25,19 +25,29 @@
 	// maxQueuedOrders is how many orders may be queued for one agent before its stream is
 	// closed.
 	maxQueuedOrders = 256
+	// refusalPause is how long a worker that has refused a start as unavailable gets no other.
+	refusalPause = 200 * time.Millisecond
+	// refusalSuspicion is how long other workers are preferred to it.
+	refusalSuspicion = 2 * time.Second
 )
 
+// ReasonUnavailable is the reason for a run that never started because its worker is
+// overloaded or unavailable.
+const ReasonUnavailable = "unwell"
+
 // host is the leader's state of an agent and the worker on the same host.
 type host struct {
-	name       string                // of the agent
-	orders     chan *wire.HostOrders // queue of the stream in use, nil if there is none
-	report     *wire.HostReport      // latest report on this stream
-	reportedAt time.Time             // when the latest report arrived
-	worker     jobs.Worker           // named in the latest report on this stream
-	unstarted  []jobs.UnstartedRun   // reported and not committed yet
-	startsSent map[runKey]time.Time  // when starts were ordered on this stream
-	stopsSent  map[runKey]time.Time  // when stops were ordered on this stream
-	endsAcked  uint64                // ends up to this number were acknowledged on this stream
+	name           string                // of the agent
+	orders         chan *wire.HostOrders // queue of the stream in use, nil if there is none
+	report         *wire.HostReport      // latest report on this stream
+	reportedAt     time.Time             // when the latest report arrived
+	worker         jobs.Worker           // named in the latest report on this stream
+	unstarted      []jobs.UnstartedRun   // reported and not committed yet
+	startsSent     map[runKey]time.Time  // when starts were ordered on this stream
+	stopsSent      map[runKey]time.Time  // when stops were ordered on this stream
+	endsAcked      uint64                // ends up to this number were acknowledged on this stream
+	pausedUntil    time.Time             // the worker has refused a start and gets none before this time
+	suspectedUntil time.Time             // the worker has refused a start, and others are preferred until this time
 	// earlierLeaseEnd is when leases by orders for earlier incarnations of the worker have ended for certain.
 	earlierLeaseEnd time.Time
 }
@@ -200,6 +210,7 @@
 			zap.String("before", h.worker.Name), zap.Strings("labels", report.Labels), zap.Int64("cpu", report.Cpu),
 			zap.Int64("accels", report.Accels), zap.Uint64("term", l.term))
 		h.resetOrders()
+		h.pausedUntil, h.suspectedUntil = time.Time{}, time.Time{}
 		l.noteIncarnation(h, w, now)
 	}
 	if previous != nil && (report.Draining != previous.Draining || report.Lost != previous.Lost) {
@@ -211,6 +222,9 @@
 		u := jobs.UnstartedRun{Task: gone.Task, Run: int(gone.Run)}
 		l.c.state.Read(func(v jobs.View) { u.Worker = h.recordedFor(v, runKey{u.Task, u.Run}) })
 		h.unstarted = append(h.unstarted, u)
+		if gone.Reason == ReasonUnavailable {
+			h.pausedUntil, h.suspectedUntil = now.Add(refusalPause), now.Add(refusalSuspicion)
+		}
 		l.log.Info("run never started", zap.String("request", jobOf(gone.Task)), zap.String("task", gone.Task), zap.Uint32("run", gone.Run),
 			zap.String("worker", w.Name), zap.Int64("born", u.Worker.StartedMs), zap.String("reason", gone.Reason))
 	}
--- a/internal/jobctl/input.go
+++ b/internal/jobctl/input.go
@@ -102,10 +102,10 @@
 			ID: h.worker, Host: name, Service: h.report.Service, Labels: h.report.Labels, Rack: h.report.Rack,
 			Capacity: allot.Resources{CPU: h.report.Cpu, Memory: h.report.Memory, Accels: h.report.Accels},
 			Speed:    l.learner.Speed(h.worker), SpeedStdDev: l.learner.SpeedStdDev(h.worker),
-			Unschedulable: h.orders == nil || h.report.Draining || h.report.Lost || now.Sub(h.reportedAt) > maxReportAge,
+			Unschedulable: h.orders == nil || h.report.Draining || h.report.Lost || now.Sub(h.reportedAt) > maxReportAge || now.Before(h.pausedUntil),
 			Quarantined:   l.learner.Quarantined(h.worker, now),
 		}
-		w.Suspect = l.learner.Suspect(h.worker, now) || now.Sub(h.reportedAt) > suspectReportAge
+		w.Suspect = l.learner.Suspect(h.worker, now) || now.Sub(h.reportedAt) > suspectReportAge || now.Before(h.suspectedUntil)
 		if h.report.Draining && h.report.Remainms > 0 {
 			w.ShutdownAt = h.reportedAt.Add(time.Duration(h.report.Remainms) * time.Millisecond)
 		}
