jobctl, jobagt: the fencing token of orders counts the incarnations of a worker

Cause: the token was the leader's term, the same for all incarnations within a term.

Change: the leader counts the incarnations on each host below the term (new field fence in orders to agents), and the agent sends the highest token that it has been given. A worker refuses lower tokens than it has seen, so from the first hold with its own token on no earlier order reaches it. During the first half second of an incarnation holds wait less, so that this comes soon.

--- a/internal/jobagt/agent.go
+++ b/internal/jobagt/agent.go
@@ -47,6 +47,7 @@
 	exitReported bool         // the announced worker has reported that it exits now
 	state        workerState
 	term         uint64        // highest term of a leader that sent orders
+	fence        uint64        // highest fencing token that a leader has sent
 	replaced     []jobs.Worker // incarnations that have answered and were replaced, the latest last
 	startedAt    time.Time     // of this process
 	reportDue    chan struct{} // closed when a report to the leader is due
@@ -57,6 +58,7 @@
 // worker begins a new one.
 type workerState struct {
 	worker       jobs.Worker
+	firstAnswer  time.Time // when it answered for the first time
 	listed       bool      // at least one listing was received
 	lost         bool      // it is certain that the worker has exited
 	misses       int       // consecutive holds without an answer
--- a/internal/jobagt/hold.go
+++ b/internal/jobagt/hold.go
@@ -15,6 +15,10 @@
 	// holdWait is how long a worker delays its answer to a hold while no run
 	// ends. It limits the age of the clock value that a lease is computed from.
 	holdWait = 400 * time.Millisecond
+	// firstHoldWait takes its place during the first firstHoldsTime of an incarnation, so that the leader's fencing
+	// token for it reaches the worker soon.
+	firstHoldWait  = 50 * time.Millisecond
+	firstHoldsTime = 500 * time.Millisecond
 	// holdTimeout is how long an answer may take beyond holdWait.
 	holdTimeout = time.Second
 	// minHoldTimeout is the least time for an answer. Workers answer in a few milliseconds.
@@ -65,7 +69,7 @@
 // listing in its answer. It reports whether there was an answer.
 func (a *Agent) sendHold(ctx context.Context, worker jobs.Worker) bool {
 	a.mu.Lock()
-	h := HoldOrder{Term: a.term, WaitMs: holdWait.Milliseconds()}
+	h := HoldOrder{Fence: a.fence, WaitMs: holdWait.Milliseconds()}
 	// A worker that left a hold unanswered may have been replaced by its next incarnation, for which neither
 	// the lease nor the numbers of the ends are meant.
 	if a.state.worker == worker && a.state.misses == 0 {
@@ -76,6 +80,9 @@
 	} else {
 		h.WaitMs = 0
 	}
+	if a.env.BootClock.Now().Sub(a.state.firstAnswer) < firstHoldsTime {
+		h.WaitMs = min(h.WaitMs, firstHoldWait.Milliseconds())
+	}
 	timeout := a.holdTimeout()
 	a.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -160,7 +167,7 @@
 func (a *Agent) beginIncarnation(listing Listing) {
 	earlier := a.state
 	a.noteReplaced(earlier.worker)
-	a.state = workerState{worker: listing.Worker, runs: map[runKey]*pendingRun{}, lateStarts: map[runKey]time.Time{}}
+	a.state = workerState{worker: listing.Worker, firstAnswer: a.env.BootClock.Now(), runs: map[runKey]*pendingRun{}, lateStarts: map[runKey]time.Time{}}
 	if earlier.worker.Name != listing.Worker.Name {
 		return // the new worker rejects orders for the earlier one
 	}
--- a/internal/jobagt/incarnation_test.go
+++ b/internal/jobagt/incarnation_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/knapweedlug/knapweedlug/internal/jobctl"
 	"github.com/knapweedlug/knapweedlug/internal/jobs"
 	"github.com/knapweedlug/knapweedlug/internal/wire"
 )
@@ -141,3 +142,23 @@
 		})
 	}
 }
+
+// An order for an earlier incarnation that comes late has no effect on a worker that has seen the token of its own.
+func TestOrdersCarryTheFenceOfTheIncarnation(t *testing.T) {
+	w := &fakeWorker{startAnswers: []any{ResultStarted}}
+	a, _ := newTestAgent(t, w)
+	a.sendHold(t.Context(), testWorker)
+	require.Equal(t, jobctl.Fence(2, 0), w.lastHold.Fence, "a leader of an earlier release sends the term only")
+	a.restart(30)
+	orders := startOrder(true)
+	orders.Born, orders.Lease, orders.Fence = restartedWorker.StartedMs, 9000, jobctl.Fence(2, 2)
+	a.receiveOrders(orders)
+	require.Eventually(t, func() bool { return len(w.receivedOrders()) > 0 }, testTimeout, time.Millisecond)
+	require.Equal(t, jobctl.Fence(2, 2), w.lastStart.Fence)
+	a.receiveOrders(&wire.HostOrders{Term: 2, Worker: "w", Born: restartedWorker.StartedMs, Fence: jobctl.Fence(2, 1)})
+	a.sendHold(t.Context(), restartedWorker)
+	require.Equal(t, jobctl.Fence(2, 2), w.lastHold.Fence, "it never falls")
+	a.receiveOrders(&wire.HostOrders{Term: 3, Worker: "w", Born: restartedWorker.StartedMs})
+	a.sendHold(t.Context(), restartedWorker)
+	require.Equal(t, jobctl.Fence(3, 0), w.lastHold.Fence)
+}
--- a/internal/jobagt/run.go
+++ b/internal/jobagt/run.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/knapweedlug/knapweedlug/internal/jobctl"
 	"github.com/knapweedlug/knapweedlug/internal/jobs"
 	"github.com/knapweedlug/knapweedlug/internal/kern"
 	"github.com/knapweedlug/knapweedlug/internal/wire"
@@ -132,6 +133,7 @@
 		return
 	}
 	a.term = orders.Term
+	a.raiseFence(max(orders.Fence, jobctl.Fence(orders.Term, 0)))
 	state := &a.state
 	if state.worker != (jobs.Worker{Name: orders.Worker, StartedMs: orders.Born}) {
 		return
@@ -174,6 +176,15 @@
 	}
 }
 
+// raiseFence raises the fencing token of the orders to the worker. A hold takes it there, so that the worker refuses
+// late orders for earlier incarnations from then on. The caller holds a.mu.
+func (a *Agent) raiseFence(fence uint64) {
+	if fence > a.fence {
+		a.fence = fence
+		a.triggerHold()
+	}
+}
+
 // endRecorded reports whether the leader has recorded the end of a run.
 func (a *Agent) endRecorded(k runKey) bool {
 	for _, e := range a.state.lastListing.Ends {
@@ -223,9 +234,9 @@
 // before it tries again.
 func (a *Agent) attempt(ctx context.Context, worker jobs.Worker, k runKey, r *pendingRun) bool {
 	a.mu.Lock()
-	term, stop := a.term, r.stopWanted
+	fence, stop := a.fence, r.stopWanted
 	start := r.order
-	start.Term = term
+	start.Fence = fence
 	if !stop {
 		start.LeaseEnd = min(r.grantEnd, a.renewLease())
 	}
@@ -236,7 +247,7 @@
 	defer cancel()
 	switch {
 	case stop:
-		return a.attemptStop(ctx, worker, term, k, r)
+		return a.attemptStop(ctx, worker, fence, k, r)
 	case otherAnnounced:
 		// A hold will show which worker is there.
 		return false
@@ -268,7 +279,7 @@
 		return false
 	}
 	a.log.Info("start answered", zap.String("request", jobOf(k.task)), zap.String("task", k.task), zap.Int("run", k.run),
-		zap.String("worker", worker.Name), zap.String("outcome", string(result)), zap.Uint64("term", term), zap.Int64("lease", start.LeaseEnd))
+		zap.String("worker", worker.Name), zap.String("outcome", string(result)), zap.Uint64("fence", fence), zap.Int64("lease", start.LeaseEnd))
 	if result == ResultStarted {
 		a.mu.Lock()
 		defer a.mu.Unlock()
@@ -300,8 +311,8 @@
 	return true
 }
 
-func (a *Agent) attemptStop(ctx context.Context, worker jobs.Worker, term uint64, k runKey, r *pendingRun) bool {
-	err := a.worker.Stop(ctx, worker, term, k.task, k.run)
+func (a *Agent) attemptStop(ctx context.Context, worker jobs.Worker, fence uint64, k runKey, r *pendingRun) bool {
+	err := a.worker.Stop(ctx, worker, fence, k.task, k.run)
 	if err != nil {
 		a.log.Warn("stop not answered", zap.String("request", jobOf(k.task)), zap.String("task", k.task), zap.Int("run", k.run),
 			zap.String("worker", worker.Name), zap.Error(err))
--- a/internal/jobagt/worker.go
+++ b/internal/jobagt/worker.go
@@ -66,7 +66,7 @@
 // HoldOrder is an order that extends the lease of a worker and asks for a
 // listing.
 type HoldOrder struct {
-	Term         uint64 // of the leader; a worker refuses orders of an older term
+	Fence        uint64 // fencing token; a worker refuses orders with a lower one than it has seen
 	LeaseEnd     int64  // end of the lease on the worker's clock, in milliseconds; 0 extends nothing
 	RecordedEnds uint64 // the worker may forget run ends up to this number
 	WaitMs       int64  // how long the worker may delay its answer while no other run ends
@@ -74,7 +74,7 @@
 
 // StartOrder is an order to start a run.
 type StartOrder struct {
-	Term       uint64 // of the leader; a worker refuses orders of an older term
+	Fence      uint64 // fencing token; a worker refuses orders with a lower one than it has seen
 	LeaseEnd   int64  // end of the lease on the worker's clock, in milliseconds
 	Task       string
 	Run        int
@@ -101,12 +101,12 @@
 // Worker sends orders to a worker. After an error other than ErrOtherWorker and
 // ErrNoListener it is unknown whether the order was or will be executed.
 //
-// Orders name the worker but not its incarnation, so any incarnation may execute them. Only a
-// listing always says which one has answered.
+// Orders name the worker but not its incarnation, so any incarnation may execute them that hasn't
+// seen a higher fencing token. Only a listing always says which one has answered.
 type Worker interface {
 	Hold(ctx context.Context, w jobs.Worker, h HoldOrder) (Listing, error)
 	Start(ctx context.Context, w jobs.Worker, s StartOrder) (StartResult, error)
-	Stop(ctx context.Context, w jobs.Worker, term uint64, task string, run int) error
+	Stop(ctx context.Context, w jobs.Worker, fence uint64, task string, run int) error
 }
 
 // Platform implements the protocol between an agent and the worker on its host.
--- a/internal/jobctl/control.go
+++ b/internal/jobctl/control.go
@@ -52,6 +52,7 @@
 	node             *replog.Node  // nil without a data directory
 	store            *store.Store
 	peers            *peers.Transport // links for log messages to other control processes
+	fences           fences           // of orders to workers
 	finder           *seek.Finder     // finds the leader and the other replicas
 	mux              *wire.Mux
 	server           *wire.Server
--- a/internal/jobctl/hosts.go
+++ b/internal/jobctl/hosts.go
@@ -247,6 +247,7 @@
 		return
 	}
 	o.Term, o.Worker, o.Born = l.term, h.worker.Name, h.worker.StartedMs
+	o.Fence = l.c.fences.of(l.term, h.name, h.worker)
 	select {
 	case h.orders <- o:
 	default:
--- a/internal/jobctl/incarnation_test.go
+++ b/internal/jobctl/incarnation_test.go
@@ -118,6 +118,22 @@
 	require.Nil(t, third.startWithin(9, 300*time.Millisecond))
 }
 
+// Orders to each incarnation carry a higher fencing token than those to the one before.
+func TestOrdersToTheNextIncarnationHaveAHigherFence(t *testing.T) {
+	_, a, _ := startOnIncarnation(t)
+	a.reportIncarnation(7, func(r *wire.HostReport) {
+		r.Ends = []*wire.RunEnd{{Number: 1, Task: idA + ".0.0.0", Run: 1, How: "failed"}}
+	})
+	before := a.orders()
+	a.reportIncarnation(3, nil)
+	after := a.orders()
+	for after.Born != 3 {
+		after = a.orders()
+	}
+	require.NotZero(t, before.Fence)
+	require.Greater(t, after.Fence, before.Fence)
+}
+
 // A worker that comes under another name rejects orders for the earlier one, so nothing needs to be stopped.
 func TestRunStartsAgainAtOnceIfAnotherWorkerIsInItsPlace(t *testing.T) {
 	_, a, _ := startOnIncarnation(t)
