--- a/internal/jobagt/agent.go
+++ b/internal/jobagt/agent.go
@@ -43,7 +43,6 @@
 	mu           sync.Mutex
 	announced    Announcement // the newest one
 	confirmed    Announcement // the newest one whose worker has answered
-	earliestExit time.Time    // earliest time at which the announced worker exits; zero if it isn't known
 	exitReported bool         // the announced worker has reported that it exits now
 	state        workerState
 	term         uint64        // highest term of a leader that sent orders
@@ -58,7 +57,6 @@
 // worker begins a new one.
 type workerState struct {
 	worker       jobs.Worker
-	firstAnswer  time.Time // when it answered for the first time
 	listed       bool      // at least one listing was received
 	lost         bool      // it is certain that the worker has exited
 	misses       int       // consecutive holds without an answer
@@ -67,6 +65,7 @@
 	lastListing  Listing   // the last one
 	listingCount uint64    // listings received
 	listedAt     time.Time // when the last listing arrived
+	firstHolds   time.Time // until when holds wait less
 	grantEnd     int64     // until when the leader lets the lease be renewed, on the worker's clock in milliseconds
 	drainClock   int64     // the worker's clock in the last report that it drains, in milliseconds
 	leaseEnd     int64     // latest end of the lease that was sent to the worker, on its clock in milliseconds
@@ -148,8 +147,9 @@
 		Seen   uint64       `json:"seen"`
 		Runs   int          `json:"runs"`
 		Term   uint64       `json:"term"`
+		Fence  uint64       `json:"fence"`
 		Leader bool         `json:"leader"`
-	}{a.announced, a.state.worker, a.state.listed, a.state.lost, a.state.leaseEnd, a.state.grantEnd, a.state.recordedEnds, len(a.state.runs), a.term, a.finder.HasSession()}
+	}{a.announced, a.state.worker, a.state.listed, a.state.lost, a.state.leaseEnd, a.state.grantEnd, a.state.recordedEnds, len(a.state.runs), a.term, a.fence, a.finder.HasSession()}
 }
 
 // triggerReport makes a report to the leader due now. The caller holds a.mu.
--- a/internal/jobagt/announce.go
+++ b/internal/jobagt/announce.go
@@ -25,16 +25,16 @@
 			zap.Int64("seq", ann.Seq), zap.Int64("newest", a.announced.Seq), zap.String("why", reason))
 		return
 	}
+	if ann.Draining && ann.RemainMs > 0 {
+		ann.earliestExit = a.env.BootClock.Now().Add(time.Duration(ann.RemainMs) * time.Millisecond)
+	}
 	old := a.announced
 	if ann.Worker == a.confirmed.Worker && ann.Worker != old.Worker {
 		// The worker that answered last. It is taken again if the one announced since doesn't answer in its place.
 		a.confirmed = ann
 		return
 	}
-	a.announced, a.earliestExit = ann, time.Time{}
-	if ann.Draining && ann.RemainMs > 0 {
-		a.earliestExit = a.env.BootClock.Now().Add(time.Duration(ann.RemainMs) * time.Millisecond)
-	}
+	a.announced = ann
 	if ann.Worker != old.Worker || !ann.Draining {
 		// The report of an exit may have come late, from an earlier incarnation: it names only the worker.
 		a.exitReported = false
@@ -94,6 +94,9 @@
 	if a.confirmed.Worker == a.state.worker {
 		a.announced = a.confirmed
 	}
+	if a.draining() {
+		a.cutGrant()
+	}
 	a.log.Warn("announcement withdrawn: another worker answers", zap.String("worker", worker.Name), zap.Int64("born", worker.StartedMs),
 		zap.String("confirmed", a.announced.Worker.Name))
 	a.triggerReport()
--- a/internal/jobagt/announce_test.go
+++ b/internal/jobagt/announce_test.go
@@ -40,11 +40,12 @@
 		a, _ := newTestAgent(t, &fakeWorker{})
 		late := jobs.Worker{Name: "w", StartedMs: born}
 		a.Announce(Announcement{Worker: late, Service: "s", Seq: 9})
-		a.Announce(Announcement{Worker: testWorker, Service: "s", Seq: 2, Draining: true})
+		a.Announce(Announcement{Worker: testWorker, Service: "s", Seq: 2, Draining: true, RemainMs: 2000})
 		require.Equal(t, late, a.announced.Worker, "it may be the next incarnation, until one of them answers")
 		a.receiveListing(Listing{Worker: testWorker, ClockMs: 1100})
 		require.Equal(t, testWorker, a.announced.Worker)
 		require.True(t, a.announced.Draining, "the last announcement of the worker that answers is in force")
 		require.True(t, a.buildReport().Listed)
+		require.EqualValues(t, 2000, a.buildReport().Remainms)
 	}
 }
--- a/internal/jobagt/hold.go
+++ b/internal/jobagt/hold.go
@@ -80,7 +80,7 @@
 	} else {
 		h.WaitMs = 0
 	}
-	if a.env.BootClock.Now().Sub(a.state.firstAnswer) < firstHoldsTime {
+	if a.env.BootClock.Now().Before(a.state.firstHolds) {
 		h.WaitMs = min(h.WaitMs, firstHoldWait.Milliseconds())
 	}
 	timeout := a.holdTimeout()
@@ -167,7 +167,7 @@
 func (a *Agent) beginIncarnation(listing Listing) {
 	earlier := a.state
 	a.noteReplaced(earlier.worker)
-	a.state = workerState{worker: listing.Worker, firstAnswer: a.env.BootClock.Now(), runs: map[runKey]*pendingRun{}, lateStarts: map[runKey]time.Time{}}
+	a.state = workerState{worker: listing.Worker, firstHolds: a.env.BootClock.Now().Add(firstHoldsTime), runs: map[runKey]*pendingRun{}, lateStarts: map[runKey]time.Time{}}
 	if earlier.worker.Name != listing.Worker.Name {
 		return // the new worker rejects orders for the earlier one
 	}
--- a/internal/jobagt/leader.go
+++ b/internal/jobagt/leader.go
@@ -111,10 +111,10 @@
 // remainingMs returns the least number of milliseconds until a draining worker
 // exits, 0 if it isn't known. The caller holds a.mu.
 func (a *Agent) remainingMs() int64 {
-	if a.earliestExit.IsZero() {
+	if a.announced.earliestExit.IsZero() {
 		return 0
 	}
-	return max(1, a.earliestExit.Sub(a.env.BootClock.Now()).Milliseconds())
+	return max(1, a.announced.earliestExit.Sub(a.env.BootClock.Now()).Milliseconds())
 }
 
 // buildReport returns the report to send now, nil before the worker's first
--- a/internal/jobagt/worker.go
+++ b/internal/jobagt/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -38,6 +39,8 @@
 	Labels   []string
 	Rack     string
 	Seq      int64 // grows with each announcement
+
+	earliestExit time.Time // earliest time at which the worker exits; zero if it isn't known
 }
 
 // AnnouncementReceiver receives the announcements of workers.
