--- /dev/null
+++ b/review/kit2/cases.go
@@ -0,0 +1,305 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	finishTime  = 14 * time.Second // after the end of the traffic jobs are asked for
+	maxIdle     = 3 * time.Second  // longest time for which a job that could run has nothing running
+	watchTime   = 8 * time.Second
+	cancelTime  = 3 * time.Second        // from the acknowledgement of a cancelling
+	maxStopTime = 400 * time.Millisecond // that a worker may take to stop a run
+	visibleTime = 3 * time.Second        // after its acceptance a job is known everywhere
+	oddClients  = 4                      // clients at each entry that use an odd key
+)
+
+// oddHeartbeat has another writer send each agent heartbeats with an id that can't be read, about as often as a worker
+// sends its own. The workers answer all the while and go on with their heartbeats. Once the other writer has gone, each
+// worker must run a job that only it may run.
+func oddHeartbeat(s *system) (string, error) {
+	s.rackEach = true
+	if err := s.run(3); err != nil {
+		return "", err
+	}
+	for n, end := int64(1), time.Now().Add(beatTime); time.Now().Before(end); n++ {
+		for i := 1; s.trouble && i <= s.hosts; i++ {
+			w := s.workers[i]
+			status, err := sendBeat(s.client, w.beatAddr, unreadableID, w.beat(n, "huvo11a"))
+			s.rec.add("agent-%d gets a heartbeat of another writer, id %s -> %d %v", i, unreadableID, status, err)
+		}
+		time.Sleep(beatInterval - beatJitter + rand.N(2*beatJitter))
+	}
+	time.Sleep(2 * beatInterval)
+	for i := 1; i <= s.hosts; i++ {
+		step := map[string]any{"count": 1, "cpu": 3700, names.Memory: 15000, "gpu": 1, names.Estimate: 1000, "requires": s.workers[i].rack}
+		if err := s.submit(jobID(i), jobText(taskSpec{WorkMs: 1000}, step)); err != nil {
+			return "", err
+		}
+	}
+	time.Sleep(finishTime)
+	for i := 1; i <= s.hosts; i++ {
+		if broken := s.idleJob(jobID(i)); broken != "" {
+			return broken, nil
+		}
+	}
+	return "", nil
+}
+
+const (
+	// unreadableID is an id of control characters, as it stands in the path of a heartbeat.
+	unreadableID = "%01%07%1F"
+	beatTime     = 45 * time.Second // for which another writer sends heartbeats
+	beatJitter   = 100 * time.Millisecond
+)
+
+// idleJob returns how a job that isn't complete has nothing running for too long although all workers are free, "" if
+// it doesn't.
+func (s *system) idleJob(id string) string {
+	idleSince := time.Now()
+	for end := time.Now().Add(watchTime); time.Now().Before(end); time.Sleep(pollInterval) {
+		if s.runs(id) > 0 {
+			idleSince = time.Now()
+		}
+		if time.Since(idleSince) <= maxIdle {
+			continue
+		}
+		state := s.state(id)
+		if state == "complete" {
+			return ""
+		}
+		return fmt.Sprintf("LOST: job %s is %q and has had nothing running for %v, %d starts so far, while workers that answer have room for it", id, state, maxIdle, s.starts(id))
+	}
+	return ""
+}
+
+// runs returns the number of tasks of a job at work.
+func (s *system) runs(id string) int {
+	n := 0
+	for _, w := range s.workers {
+		for r := range w.runningTasks() {
+			if strings.HasPrefix(r, id+".") {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// starts returns the number of starts of a job's tasks.
+func (s *system) starts(id string) int {
+	n := 0
+	for _, w := range s.workers {
+		n += len(w.startsOf(id))
+	}
+	return n
+}
+
+// oddKey has one client at each entry ask for counts with an unknown key. With the disruption the key contains a byte
+// that isn't ASCII. Meanwhile a sound client asks for a job that was accepted and is complete.
+func oddKey(s *system) (string, error) {
+	if err := s.run(3); err != nil {
+		return "", err
+	}
+	id := jobID(1)
+	if err := s.submit(id, jobText(taskSpec{WorkMs: 500}, map[string]any{"count": 1, "cpu": 1000, names.Memory: 64, names.Estimate: 500})); err != nil {
+		return "", err
+	}
+	if !s.awaitState(id, "complete", 10*time.Second) {
+		return "", fmt.Errorf("the job didn't end: %w", errNotRun)
+	}
+	key := "d4a3hwrr6x73d3zji9nq"
+	if s.trouble {
+		key = "d4a3hwrr6x73d3zji9n\xe9"
+	}
+	var done atomic.Bool
+	defer done.Store(true)
+	for n := range 2 * oddClients {
+		entry := 1 + n%2
+		background(func() {
+			for !done.Load() {
+				s.do(call{method: http.MethodGet, addr: s.addr(entry, portFront), path: callerPrefix, key: key, host: callerHost})
+				time.Sleep(pollInterval)
+			}
+		})
+	}
+	time.Sleep(finishTime)
+	asked := 0
+	for end := time.Now().Add(3 * watchTime); time.Now().Before(end); time.Sleep(pollInterval) {
+		asked++
+		if s.job(http.MethodGet, 1+asked%2, id, "").status == http.StatusOK {
+			return "", nil
+		}
+	}
+	return fmt.Sprintf("LOST: the state of job %s was asked for %d times at both entries and got no answer in time", id, asked), nil
+}
+
+// renamedRoute stores a configuration that removes a route and adds one with another name at the same place. A job that
+// was accepted before must still be known, and a cancelling that is acknowledged must stop it.
+func renamedRoute(s *system) (string, error) {
+	if err := s.run(3); err != nil {
+		return "", err
+	}
+	id := jobID(1)
+	if err := s.submit(id, jobText(taskSpec{WorkMs: 40_000}, map[string]any{"count": 1, "cpu": 1000, names.Memory: 64, names.Estimate: 40_000})); err != nil {
+		return "", err
+	}
+	if !s.awaitState(id, "active", 10*time.Second) {
+		return "", fmt.Errorf("the job didn't begin: %w", errNotRun)
+	}
+	time.Sleep(visibleTime)
+	if s.trouble {
+		var cfg map[string]any
+		if err := json.Unmarshal(names.Config, &cfg); err != nil {
+			return "", err
+		}
+		cfg["version"] = 4
+		cfg["routes"].([]any)[0].(map[string]any)["name"] = "r-new4ha"
+		text, err := json.Marshal(cfg)
+		if err != nil {
+			return "", err
+		}
+		if err := s.putConfig(text); err != nil {
+			return "", err
+		}
+	}
+	time.Sleep(3 * time.Second)
+	broken := ""
+	if a := s.job(http.MethodGet, 1, id, ""); a.status == http.StatusGone {
+		broken = fmt.Sprintf("LOST: job %s, accepted and not cancelled, with %d of its tasks running, is answered 410", id, s.runs(id))
+	}
+	cancelled := s.job(http.MethodDelete, 2, id, "")
+	if cancelled.status != http.StatusOK && cancelled.status != http.StatusGone {
+		return broken, nil
+	}
+	time.Sleep(cancelTime + maxStopTime + time.Second)
+	if n := s.runs(id); n > 0 {
+		broken = strings.TrimPrefix(broken+fmt.Sprintf("; UNASKED: %d tasks run on %v after the cancelling was acknowledged with %d", n, cancelTime+maxStopTime, cancelled.status), "; ")
+	}
+	return broken, nil
+}
+
+// lostHost takes a machine away, with its worker and its agent, and kills the leader some seconds later, which starts
+// again at once. The task that lasts and ran on that machine must run again elsewhere. LEADER=0 leaves the leader alone.
+func lostHost(s *system) (string, error) {
+	if err := s.run(3); err != nil {
+		return "", err
+	}
+	id := jobID(1)
+	step := map[string]any{"count": 2, "cpu": 1000, names.Memory: 64, "gpu": 1, "long_running": true, names.Spread: 1, names.Estimate: 500}
+	if err := s.submit(id, jobText(taskSpec{Lasts: true}, step)); err != nil {
+		return "", err
+	}
+	for end := time.Now().Add(10 * time.Second); s.runs(id) < 2; time.Sleep(pollInterval) {
+		if time.Now().After(end) {
+			return "", fmt.Errorf("the tasks didn't begin: %w", errNotRun)
+		}
+	}
+	time.Sleep(5 * time.Second)
+	leader, err := s.leader()
+	if err != nil {
+		return "", fmt.Errorf("%w: %w", err, errNotRun)
+	}
+	lost := 0
+	for i, w := range s.workers {
+		if len(w.startsOf(id)) > 0 {
+			lost = i
+		}
+	}
+	if s.trouble {
+		s.kill(fmt.Sprintf("agent-%d", lost))
+		s.workers[lost].kill()
+	}
+	lostAt := time.Now()
+	if s.trouble && os.Getenv("LEADER") != "0" {
+		time.Sleep(4 * time.Second)
+		s.kill(leader)
+		time.Sleep(500 * time.Millisecond)
+		if err := s.restart(leader); err != nil {
+			return "", err
+		}
+	}
+	if !s.trouble {
+		time.Sleep(finishTime)
+		lostAt = time.Now()
+	}
+	for s.runs(id) < 2 && time.Since(lostAt) < 30*time.Second {
+		time.Sleep(tickInterval)
+	}
+	gap := time.Since(lostAt)
+	s.rec.add("both tasks ran again %v after the machine was lost", gap.Round(time.Millisecond))
+	if gap > lastsAgain {
+		return fmt.Sprintf("LOST: a task that lasts ran again only %.1f s after its last run, with capacity free all the while; %v are allowed", gap.Seconds(), lastsAgain), nil
+	}
+	return "", nil
+}
+
+// lastsAgain is the time after its last run in which a task that lasts has to run again: 6 s, and 3 s more.
+const lastsAgain = 9 * time.Second
+
+// manyOrders hands in one job of many small tasks with a text of nearly the longest length, all of which fit on one
+// worker. Without the disruption it has as many tasks as the widest on the users' sheets.
+func manyOrders(s *system) (string, error) {
+	if err := s.run(3); err != nil {
+		return "", err
+	}
+	count := 55
+	if s.trouble {
+		count = 2400
+	}
+	id := jobID(1)
+	step := map[string]any{"count": count, "cpu": 10, names.Memory: 16, names.Estimate: 2000}
+	if err := s.submit(id, jobText(taskSpec{WorkMs: 2000, Fill: strings.Repeat("x", 3950)}, step)); err != nil {
+		return "", err
+	}
+	time.Sleep(time.Second)
+	other := jobID(2)
+	small := map[string]any{"count": 1, "cpu": 1000, names.Memory: 64, names.Estimate: 1000}
+	if err := s.submit(other, jobText(taskSpec{WorkMs: 1000}, small)); err != nil {
+		return "", err
+	}
+	time.Sleep(finishTime)
+	for _, id := range []string{id, other} {
+		if broken := s.idleJob(id); broken != "" {
+			return broken, nil
+		}
+	}
+	return "", nil
+}
+
+// reservedHosts lets small urgent tasks run on half of the workers, and with the disruption an urgent gang come that
+// needs more than the other half. A job of lower priority that fits on any idle worker must run.
+func reservedHosts(s *system) (string, error) {
+	if err := s.run(6); err != nil {
+		return "", err
+	}
+	running := map[string]any{"count": 3, "cpu": 3700, names.Memory: 15000, "gpu": 1, names.Spread: 1, names.Estimate: urgentWorkMs}
+	if err := s.submitUrgent(jobID(1), jobText(taskSpec{WorkMs: urgentWorkMs}, running)); err != nil {
+		return "", err
+	}
+	time.Sleep(500 * time.Millisecond)
+	if s.trouble {
+		gang := map[string]any{"count": 4, "cpu": 3700, names.Memory: 15000, "gpu": 8, "gang": true, names.Estimate: 2100}
+		if err := s.submitUrgent(jobID(2), jobText(taskSpec{WorkMs: 2100}, gang)); err != nil {
+			return "", err
+		}
+	}
+	id := jobID(3)
+	plain := map[string]any{"count": 1, "cpu": 13000, names.Memory: 53000, "gpu": 8, names.Estimate: 7200}
+	if err := s.submit(id, jobText(taskSpec{WorkMs: 7200}, plain)); err != nil {
+		return "", err
+	}
+	time.Sleep(finishTime)
+	s.rec.add("of 48 accelerators %d are in use, 3 of 6 workers are empty", s.runs(jobID(1))+8*s.runs(jobID(2))+8*s.runs(id))
+	return s.idleJob(id), nil
+}
+
+// urgentWorkMs is the longest task of urgent jobs on the users' sheets.
+const urgentWorkMs = 22_000
