--- a/review/kit2/main.go
+++ b/review/kit2/main.go
@@ -41,10 +41,9 @@
 
 var cases = map[string]play{
 	"odd-heartbeat":  oddHeartbeat,
-	"odd-key":        oddKey,
 	"renamed-route":  renamedRoute,
-	"lost-host":      lostHost,
 	"many-orders":    manyOrders,
+	"silent-conns":   silentConns,
 	"reserved-hosts": reservedHosts,
 }
 
--- a/review/kit2/names.go
+++ b/review/kit2/names.go
@@ -33,6 +33,7 @@
 	Memory     string          `json:"memory"`
 	Estimate   string          `json:"estimate"`
 	Spread     string          `json:"spread"`
+	MayMiss    string          `json:"mayMiss"`
 	Config     json.RawMessage `json:"config"`
 }
 
--- a/review/kit2/system.go
+++ b/review/kit2/system.go
@@ -12,7 +12,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -218,24 +217,6 @@
 	return p.cmd.Start()
 }
 
-// signal sends a signal to a process.
-func (s *system) signal(name string, sig syscall.Signal) {
-	s.rec.add("%s gets signal %v", name, sig)
-	_ = s.procs[name].cmd.Process.Signal(sig)
-}
-
-// kill ends a process at once and waits for its end.
-func (s *system) kill(name string) {
-	s.signal(name, syscall.SIGKILL)
-	_ = s.procs[name].cmd.Wait()
-}
-
-// restart starts a killed process again.
-func (s *system) restart(name string) error {
-	s.rec.add("%s starts again", name)
-	return s.procs[name].start()
-}
-
 // close ends all processes and workers.
 func (s *system) close() {
 	for _, w := range s.workers {
@@ -251,35 +232,6 @@
 	}
 }
 
-// logs returns the log of a process.
-func (s *system) logs(name string) string {
-	text, _ := os.ReadFile(filepath.Join(s.dir, name+".log"))
-	return string(text)
-}
-
-// leader returns the name of the control process that leads.
-func (s *system) leader() (string, error) {
-	newest, name := "", ""
-	for i := 1; i <= 3; i++ {
-		p := fmt.Sprintf("control-%d", i)
-		for line := range strings.SplitSeq(s.logs(p), "\n") {
-			if !strings.Contains(line, `"msg":"leading"`) {
-				continue
-			}
-			var l struct {
-				Time string `json:"time"`
-			}
-			if json.Unmarshal([]byte(line), &l) == nil && l.Time > newest {
-				newest, name = l.Time, p
-			}
-		}
-	}
-	if name == "" {
-		return "", errors.New("no leader")
-	}
-	return name, nil
-}
-
 // answer is the answer to a call; the status is 0 if there was none.
 type answer struct {
 	status int
--- a/review/kit2/worker.go
+++ b/review/kit2/worker.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -43,6 +44,8 @@
 	lastEnd int64
 	news    chan struct{} // closed when a run ends
 	starts  []taskStart
+	// howEnded holds how runs have ended, by job.
+	howEnded map[string][]string
 }
 
 // taskRun is a task at work.
@@ -84,7 +87,7 @@
 	}
 	w := &worker{
 		id: id, rack: rack, addr: addr, beatAddr: beatAddr, rec: rec, startedAt: time.Now(), born: time.Now().UnixMilli(), ln: ln,
-		runs: map[string]*taskRun{}, highest: map[string]int{}, news: make(chan struct{}), client: &http.Client{Timeout: time.Second},
+		runs: map[string]*taskRun{}, highest: map[string]int{}, howEnded: map[string][]string{}, news: make(chan struct{}), client: &http.Client{Timeout: time.Second},
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+names.PathStart, w.handle(w.start))
@@ -182,6 +185,8 @@
 	w.highest[r.task] = max(w.highest[r.task], r.number)
 	w.lastEnd++
 	w.ends = append(w.ends, taskEnd{w.lastEnd, r.task, r.number, how})
+	job, _, _ := strings.Cut(r.task, ".")
+	w.howEnded[job] = append(w.howEnded[job], how)
 	w.rec.add("worker %s: %s run %d ended %s", w.id, r.task, r.number, how)
 	close(w.news)
 	w.news = make(chan struct{})
