--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -6,4 +6,4 @@
 	echo "NOT RUN: build first"
 	exit 2
 fi
-exec bin/review-2 odd-heartbeat review/6
+exec bin/review-2 refused-after-stall review/6
--- a/review/kit2/cases.go
+++ b/review/kit2/cases.go
@@ -174,36 +174,6 @@
 	return "", nil
 }
 
-// reservedHosts lets small urgent tasks run on half of the workers, and with the disruption an urgent gang come that
-// needs more than the other half. A job of lower priority that fits on any idle worker must run.
-func reservedHosts(s *system) (string, error) {
-	if err := s.run(6); err != nil {
-		return "", err
-	}
-	running := map[string]any{"count": 3, "cpu": 3700, names.Memory: 15000, "gpu": 1, names.Spread: 1, names.Estimate: urgentWorkMs}
-	if err := s.submitUrgent(jobID(1), jobText(taskSpec{WorkMs: urgentWorkMs}, running)); err != nil {
-		return "", err
-	}
-	time.Sleep(500 * time.Millisecond)
-	if s.trouble {
-		gang := map[string]any{"count": 4, "cpu": 3700, names.Memory: 15000, "gpu": 8, "gang": true, names.Estimate: 2100}
-		if err := s.submitUrgent(jobID(2), jobText(taskSpec{WorkMs: 2100}, gang)); err != nil {
-			return "", err
-		}
-	}
-	id := jobID(3)
-	plain := map[string]any{"count": 1, "cpu": 13000, names.Memory: 53000, "gpu": 8, names.Estimate: 7200}
-	if err := s.submit(id, jobText(taskSpec{WorkMs: 7200}, plain)); err != nil {
-		return "", err
-	}
-	time.Sleep(finishTime)
-	s.rec.add("of 48 accelerators %d are in use, 3 of 6 workers are empty", s.runs(jobID(1))+8*s.runs(jobID(2))+8*s.runs(id))
-	return s.idleJob(id), nil
-}
-
-// urgentWorkMs is the longest task of urgent jobs on the users' sheets.
-const urgentWorkMs = 22_000
-
 // silentConns silences the connections that are open between the agents and their workers, while new ones work. Two tasks
 // of a step that last, of which one may be missing, must not both lose their leases later.
 func silentConns(s *system) (string, error) {
@@ -255,3 +225,76 @@
 	}
 	return "", nil
 }
+
+// refusedAfterStall has one of twelve workers stall for some seconds, several times, and refuse a part of the starts with 503
+// when it answers again. Tasks are ordered to it while it stalls. No task may have two runs at the same time.
+func refusedAfterStall(s *system) (string, error) {
+	if err := s.run(12); err != nil {
+		return "", err
+	}
+	// A long task makes the planner prefer its worker to the empty ones.
+	anchor := map[string]any{"count": 1, "cpu": 1000, names.Memory: 1000, names.Estimate: 100_000}
+	if err := s.submitUrgent(jobID(1), jobText(taskSpec{WorkMs: 300_000}, anchor)); err != nil {
+		return "", err
+	}
+	time.Sleep(2 * time.Second)
+	var used *worker
+	for _, w := range s.workers {
+		if len(w.startsOf(jobID(1))) > 0 {
+			used = w
+		}
+	}
+	if used == nil {
+		return "", fmt.Errorf("the first job didn't begin: %w", errNotRun)
+	}
+	step := map[string]any{"count": 30, "cpu": 50, names.Memory: 150, names.Estimate: 600}
+	for n, end := 2, time.Now().Add(stallsTime); time.Now().Before(end); n += jobsInStall {
+		if s.trouble {
+			used.stall(stallTime, shedTime)
+		}
+		time.Sleep(handInAfter)
+		for i := range jobsInStall {
+			if err := s.submitUrgent(jobID(n+i), jobText(taskSpec{WorkMs: 600}, step)); err != nil {
+				return "", err
+			}
+			time.Sleep(rand.N(8 * time.Millisecond))
+		}
+		time.Sleep(stallTime - handInAfter + 1200*time.Millisecond)
+		for i := range jobsInStall {
+			if broken := s.twoRuns(jobID(n + i)); broken != "" {
+				return broken, nil
+			}
+		}
+	}
+	return "", nil
+}
+
+const (
+	stallTime  = 4500 * time.Millisecond // of one stall
+	shedTime   = 500 * time.Millisecond  // after it
+	stallsTime = 90 * time.Second
+	// handInAfter is when jobs are handed in after the beginning of a stall: the agent has missed one answer, and the
+	// leader doesn't know yet.
+	handInAfter = 2 * time.Second
+	// jobsInStall is the number of jobs that are handed in while the worker stalls.
+	jobsInStall = 20
+)
+
+// twoRuns returns how a task of a job had two runs at the same time, "" if none had.
+func (s *system) twoRuns(id string) string {
+	var all []taskStart
+	var on []string
+	for _, w := range s.workers {
+		for _, st := range w.startsOf(id) {
+			all, on = append(all, st), append(on, w.id)
+		}
+	}
+	for i, a := range all {
+		for j, b := range all {
+			if i != j && a.task == b.task && !b.at.Before(a.at) && (a.ended.IsZero() || b.at.Before(a.ended)) {
+				return fmt.Sprintf("TWICE: %s run %d began on %s while run %d was at work on %s; both answer", b.task, b.number, on[j], a.number, on[i])
+			}
+		}
+	}
+	return ""
+}
--- a/review/kit2/main.go
+++ b/review/kit2/main.go
@@ -40,11 +40,11 @@
 type play func(s *system) (string, error)
 
 var cases = map[string]play{
-	"odd-heartbeat":  oddHeartbeat,
-	"renamed-route":  renamedRoute,
-	"many-orders":    manyOrders,
-	"silent-conns":   silentConns,
-	"reserved-hosts": reservedHosts,
+	"odd-heartbeat":       oddHeartbeat,
+	"renamed-route":       renamedRoute,
+	"many-orders":         manyOrders,
+	"refused-after-stall": refusedAfterStall,
+	"silent-conns":        silentConns,
 }
 
 func main() {
--- a/review/kit2/system.go
+++ b/review/kit2/system.go
@@ -100,7 +100,7 @@
 }
 
 func portsFree(base int) bool {
-	for _, host := range []int{1, 2, 3, 11, 12, 13, 14, 15, 16} {
+	for _, host := range []int{1, 2, 3, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22} {
 		for offset := range 10 {
 			ln, err := net.Listen("tcp", fmt.Sprintf("127.0.1.%d:%d", host, base+offset))
 			if err != nil {
--- a/review/kit2/worker.go
+++ b/review/kit2/worker.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -19,6 +20,7 @@
 	startupTime  = 500 * time.Millisecond // until a task that lasts is at work
 	maxListed    = 500                    // ends in one listing
 	tickInterval = 10 * time.Millisecond
+	shedShare    = 0.4 // of the starts, while the worker sheds
 )
 
 // worker is a sound stand-in of a worker, from its start until it is killed.
@@ -43,7 +45,9 @@
 	ends    []taskEnd
 	lastEnd int64
 	news    chan struct{} // closed when a run ends
-	starts  []taskStart
+	starts  []*taskStart
+	// stalledUntil is until when the worker answers no order, and sheddingUntil until when it refuses some starts.
+	stalledUntil, sheddingUntil time.Time
 	// howEnded holds how runs have ended, by job.
 	howEnded map[string][]string
 }
@@ -56,6 +60,7 @@
 	length   time.Duration
 	lasts    bool
 	stopDone time.Time // when a stop is complete, zero if none was ordered
+	start    *taskStart
 }
 
 // taskEnd is an end that isn't acknowledged yet.
@@ -71,6 +76,7 @@
 	task   string
 	number int
 	at     time.Time
+	ended  time.Time // zero while it runs
 }
 
 // taskSpec is the text of a job as the stand-ins use it.
@@ -105,6 +111,7 @@
 	w.mu.Lock()
 	w.killed = true
 	for task, r := range w.runs {
+		r.start.ended = time.Now()
 		w.rec.add("worker %s died with %s run %d", w.id, task, r.number)
 	}
 	w.runs = map[string]*taskRun{}
@@ -182,6 +189,7 @@
 // end lists the end of a run. The caller holds mu.
 func (w *worker) end(r *taskRun, how string) {
 	delete(w.runs, r.task)
+	r.start.ended = time.Now()
 	w.highest[r.task] = max(w.highest[r.task], r.number)
 	w.lastEnd++
 	w.ends = append(w.ends, taskEnd{w.lastEnd, r.task, r.number, how})
@@ -215,6 +223,9 @@
 			rw.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		if !w.awaitStall(r.Context()) {
+			return // the agent has given up; nothing was done
+		}
 		status, body := w.check(r.Header.Get("Expect-Instance"), o)
 		if status == http.StatusOK {
 			status, body = carryOut(r.Context(), o)
@@ -231,6 +242,31 @@
 	}
 }
 
+// awaitStall waits until the worker no longer stalls. It returns false if the caller gives up before.
+func (w *worker) awaitStall(ctx context.Context) bool {
+	w.mu.Lock()
+	left := time.Until(w.stalledUntil)
+	w.mu.Unlock()
+	if left <= 0 {
+		return true
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(left):
+		return true
+	}
+}
+
+// stall makes the worker answer no order for a time, and refuse some starts for a time after that.
+func (w *worker) stall(stalled, shedding time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stalledUntil = time.Now().Add(stalled)
+	w.sheddingUntil = w.stalledUntil.Add(shedding)
+	w.rec.add("worker %s answers nothing for %v, then refuses a part of the starts for %v", w.id, stalled, shedding)
+}
+
 func (w *worker) check(id string, o order) (int, map[string]any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -254,6 +290,9 @@
 		return http.StatusOK, map[string]any{}
 	}
 	switch {
+	case time.Now().Before(w.sheddingUntil) && rand.Float64() < shedShare:
+		w.rec.add("worker %s: %s run %d is refused with 503", w.id, task, number)
+		return http.StatusServiceUnavailable, map[string]any{}
 	case number <= w.highest[task]:
 		return http.StatusConflict, map[string]any{names.Reason: "old"}
 	case o.number(names.LeaseEnd) <= w.clock():
@@ -263,8 +302,9 @@
 	if err := json.Unmarshal([]byte(o.text(names.Spec)), &spec); err != nil {
 		return http.StatusBadRequest, map[string]any{}
 	}
-	w.runs[task] = &taskRun{task: task, number: number, beganAt: time.Now(), length: time.Duration(spec.WorkMs) * time.Millisecond, lasts: spec.Lasts}
-	w.starts = append(w.starts, taskStart{task, number, time.Now()})
+	s := &taskStart{task: task, number: number, at: time.Now()}
+	w.runs[task] = &taskRun{task: task, number: number, beganAt: s.at, length: time.Duration(spec.WorkMs) * time.Millisecond, lasts: spec.Lasts, start: s}
+	w.starts = append(w.starts, s)
 	w.rec.add("worker %s: %s run %d started", w.id, task, number)
 	return http.StatusOK, map[string]any{}
 }
@@ -338,7 +378,7 @@
 	var list []taskStart
 	for _, s := range w.starts {
 		if len(s.task) > len(job) && s.task[:len(job)] == job {
-			list = append(list, s)
+			list = append(list, *s)
 		}
 	}
 	return list
