--- a/review/kit2/worker.go
+++ b/review/kit2/worker.go
@@ -226,6 +226,11 @@
 		if !w.awaitStall(r.Context()) {
 			return // the agent has given up; nothing was done
 		}
+		if r.URL.Path == names.PathStart && w.sheds() {
+			w.rec.add("worker %s: %s run %d is refused with 503", w.id, o.text(names.Task), o.number(names.Run))
+			rw.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		status, body := w.check(r.Header.Get("Expect-Instance"), o)
 		if status == http.StatusOK {
 			status, body = carryOut(r.Context(), o)
@@ -258,6 +263,13 @@
 	}
 }
 
+// sheds reports whether a start is refused because the worker is unhealthy. Nothing is done then.
+func (w *worker) sheds() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Now().Before(w.sheddingUntil) && rand.Float64() < shedShare
+}
+
 // stall makes the worker answer no order for a time, and refuse some starts for a time after that.
 func (w *worker) stall(stalled, shedding time.Duration) {
 	w.mu.Lock()
@@ -290,9 +302,6 @@
 		return http.StatusOK, map[string]any{}
 	}
 	switch {
-	case time.Now().Before(w.sheddingUntil) && rand.Float64() < shedShare:
-		w.rec.add("worker %s: %s run %d is refused with 503", w.id, task, number)
-		return http.StatusServiceUnavailable, map[string]any{}
 	case number <= w.highest[task]:
 		return http.StatusConflict, map[string]any{names.Reason: "old"}
 	case o.number(names.LeaseEnd) <= w.clock():
