--- a/review/kit2/main.go
+++ b/review/kit2/main.go
@@ -49,14 +49,14 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: review-2 CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: review-2 CASE RECORD")
 		os.Exit(exitNotRun)
 	}
 	os.Exit(run(os.Args[1], os.Args[2]))
 }
 
-func run(name, folder string) int {
-	rec, err := newRecord(folder + "/record.txt")
+func run(name, recordFile string) int {
+	rec, err := newRecord(recordFile)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
