jobagt, jobctl: a run that was given up is never started by a late order

Cause: nobody remembered that a run had been given up. After a refusal (unavailable, full, unfit, lease ended, drained) the agent forgot the run and reported it as gone. The leader repeats an order that it has no word on, and did so also after that report, until the end of the run was committed. Such an order found no run in the agent and was taken for a new one, while the task got its next run on another worker.

Change: the agent keeps the runs that it has given up and answers orders for them with the report that they are gone, on each new stream too, until the leader says that their end is committed (new field gone in orders to agents). From then on no leader can order them: a new one starts from the commits. The leader sends no order for a run that is reported as gone and not committed yet, which also covers an agent that has restarted and remembers nothing.

The queue of orders in newTestLeader has the size that the product uses, as refusals are confirmed on it now.

--- a/internal/jobagt/agent.go
+++ b/internal/jobagt/agent.go
@@ -74,6 +74,9 @@
 	runs         map[runKey]*pendingRun
 	lateStarts   map[runKey]time.Time // until when an unanswered start of a run may still be executed
 	goneRuns     []*wire.RunGone      // not yet reported on the current stream
+	// givenUp holds why runs that were reported as gone didn't start, until the leader has recorded their end. An
+	// order that it sent before may still come, when the task already has its next run.
+	givenUp map[runKey]string
 }
 
 // runKey identifies a run.
--- a/internal/jobagt/hold.go
+++ b/internal/jobagt/hold.go
@@ -167,7 +167,7 @@
 func (a *Agent) beginIncarnation(listing Listing) {
 	earlier := a.state
 	a.noteReplaced(earlier.worker)
-	a.state = workerState{worker: listing.Worker, firstHolds: a.env.BootClock.Now().Add(firstHoldsTime), runs: map[runKey]*pendingRun{}, lateStarts: map[runKey]time.Time{}}
+	a.state = workerState{worker: listing.Worker, firstHolds: a.env.BootClock.Now().Add(firstHoldsTime), runs: map[runKey]*pendingRun{}, lateStarts: map[runKey]time.Time{}, givenUp: map[runKey]string{}}
 	if earlier.worker.Name != listing.Worker.Name {
 		return // the new worker rejects orders for the earlier one
 	}
--- a/internal/jobagt/leader.go
+++ b/internal/jobagt/leader.go
@@ -30,9 +30,7 @@
 	}
 	defer st.Reset()
 	a.mu.Lock()
-	// Gone runs that the leader wasn't told of are not forgotten: it repeats
-	// its orders for them, and the agent finds again that they are gone.
-	a.state.goneRuns = nil
+	a.state.reportGivenUpAgain()
 	a.mu.Unlock()
 	g, ctx := errgroup.WithContext(ctx)
 	stop := context.AfterFunc(ctx, st.Reset)
--- a/internal/jobagt/run.go
+++ b/internal/jobagt/run.go
@@ -115,7 +115,22 @@
 // dropRun removes a run and queues a report that it is gone.
 func (s *workerState) dropRun(k runKey, reason string) {
 	delete(s.runs, k)
-	s.goneRuns = append(s.goneRuns, &wire.RunGone{Task: k.task, Run: uint32(k.run), Reason: reason})
+	s.givenUp[k] = reason
+	s.reportGone(k)
+}
+
+// reportGone queues a report that a run that was given up is gone.
+func (s *workerState) reportGone(k runKey) {
+	s.goneRuns = append(s.goneRuns, &wire.RunGone{Task: k.task, Run: uint32(k.run), Reason: s.givenUp[k]})
+}
+
+// reportGivenUpAgain queues the reports on runs that were given up for a new stream. The leader at its other end may
+// not have got those on earlier streams.
+func (s *workerState) reportGivenUpAgain() {
+	s.goneRuns = nil
+	for k := range s.givenUp {
+		s.reportGone(k)
+	}
 }
 
 func jobOf(task string) string {
@@ -148,6 +163,9 @@
 		}
 		a.triggerHold()
 	}
+	for _, gone := range orders.Gone {
+		delete(state.givenUp, runKey{gone.Task, int(gone.Run)})
+	}
 	for _, stop := range orders.Stops {
 		k := runKey{stop.Task, int(stop.Run)}
 		r, ok := state.runs[k]
@@ -160,6 +178,13 @@
 	}
 	for _, start := range orders.Starts {
 		k := runKey{start.Task, int(start.Run)}
+		if reason, ok := state.givenUp[k]; ok {
+			a.log.Info("start ignored: the run was given up", zap.String("request", jobOf(k.task)), zap.String("task", k.task), zap.Int("run", k.run),
+				zap.String("worker", orders.Worker), zap.String("why", reason), zap.Uint64("term", orders.Term))
+			state.reportGone(k)
+			a.triggerReport()
+			continue
+		}
 		if r, ok := state.runs[k]; ok {
 			r.grantEnd = state.grantEnd
 			// The leader repeats the order for a run that the worker has
--- a/internal/jobctl/hosts.go
+++ b/internal/jobctl/hosts.go
@@ -157,6 +157,28 @@
 	return false
 }
 
+// runsReportedGone returns the runs that the agent has given up and whose end isn't committed yet.
+func (h *host) runsReportedGone() map[runKey]bool {
+	gone := map[runKey]bool{}
+	for _, u := range h.unstarted {
+		gone[runKey{u.Task, u.Run}] = true
+	}
+	return gone
+}
+
+// recordedGone removes the reported runs whose end a command has committed and returns them.
+func (h *host) recordedGone(cmd jobs.Command) []*wire.RunID {
+	var recorded []*wire.RunID
+	h.unstarted = slices.DeleteFunc(h.unstarted, func(u jobs.UnstartedRun) bool {
+		if !slices.Contains(cmd.Unstarted, u) {
+			return false
+		}
+		recorded = append(recorded, &wire.RunID{Task: u.Task, Run: uint32(u.Run)})
+		return true
+	})
+	return recorded
+}
+
 // detach removes a stream unless another one has replaced it.
 func (l *leader) detach(name string, orders chan *wire.HostOrders) {
 	l.mu.Lock()
@@ -346,7 +368,9 @@
 	defer l.mu.Unlock()
 	now := l.now()
 	for _, h := range l.hosts {
-		h.unstarted = slices.DeleteFunc(h.unstarted, func(u jobs.UnstartedRun) bool { return slices.Contains(cmd.Unstarted, u) })
+		if recorded := h.recordedGone(cmd); len(recorded) > 0 {
+			l.queueOrders(h, &wire.HostOrders{Gone: recorded})
+		}
 	}
 	for _, u := range cmd.Unstarted {
 		delete(l.runs, runKey{u.Task, u.Run})
--- a/internal/jobctl/input_test.go
+++ b/internal/jobctl/input_test.go
@@ -54,7 +54,7 @@
 	for i := range 11 {
 		name := fmt.Sprintf("h%02d", i)
 		l.hosts[name] = &host{
-			name: name, reportedAt: now, worker: jobs.Worker{Name: name, StartedMs: 1}, orders: make(chan *wire.HostOrders, 1),
+			name: name, reportedAt: now, worker: jobs.Worker{Name: name, StartedMs: 1}, orders: make(chan *wire.HostOrders, maxQueuedOrders),
 			report: &wire.HostReport{Worker: name, Born: 1, Listed: true, Service: "s", Cpu: 32000, Memory: 131072, Accels: 8},
 		}
 	}
--- a/internal/jobctl/orders.go
+++ b/internal/jobctl/orders.go
@@ -64,9 +64,13 @@
 			o.Stops = append(o.Stops, st)
 		}
 	}
+	gone := h.runsReportedGone()
 	for _, task := range slices.Sorted(maps.Keys(record.Runs)) {
 		run := record.Runs[task]
 		k := runKey{task, run}
+		if gone[k] {
+			continue // its end is about to be recorded, and its task to get another run
+		}
 		if reason := l.stopReason(v, task, run); reason != "" {
 			if st := l.stopOrder(h, k, reason, now); st != nil {
 				o.Stops = append(o.Stops, st)
