jobagt: an order from before the loss of a worker starts nothing afterwards

When a worker's lease has ended without an answer, the agent reports it as lost, and its tasks start elsewhere. An order that the leader had sent before it heard of that (on its way for seconds, or not read by an agent that was suspended) carried a grant that was still good, so a worker that answered again began it: the task ran twice.

Change: with the loss the agent gives up the rest of the leader's grant, and ignores answers to reports from before. An order that comes until the next grant is refused as late.

Evidence: without it TestOrderFromBeforeTheLossStartsNothing fails ("Condition never satisfied": the order is carried out).

--- a/internal/jobagt/agent.go
+++ b/internal/jobagt/agent.go
@@ -68,6 +68,7 @@
 	firstHolds   time.Time // until when holds wait less
 	grantEnd     int64     // until when the leader lets the lease be renewed, on the worker's clock in milliseconds
 	drainClock   int64     // the worker's clock in the last report that it drains, in milliseconds
+	lostClock    int64     // the worker's clock in the last listing before it was lost, in milliseconds; 0 if it never was
 	leaseEnd     int64     // latest end of the lease that was sent to the worker, on its clock in milliseconds
 	earlierLease int64     // latest end of a lease by an order for an earlier incarnation, on the worker's clock in milliseconds
 	recordedEnds uint64    // run ends up to this number are recorded by the leader
--- a/internal/jobagt/hold.go
+++ b/internal/jobagt/hold.go
@@ -128,7 +128,7 @@
 	}()
 	now := a.env.BootClock.Now()
 	if ended, ok := a.leaseCertainlyEnded(); ok && !now.Before(ended) {
-		state.lost = true
+		a.markLost()
 		a.log.Warn("worker's lease has ended without an answer", zap.String("worker", worker.Name), zap.Int64("born", worker.StartedMs),
 			zap.Int("runs", len(state.runs)), zap.Duration("silent", now.Sub(state.listedAt)))
 		a.endLease()
@@ -151,7 +151,7 @@
 		state.refusals = 0
 		return
 	}
-	state.lost = true
+	a.markLost()
 	a.log.Warn("worker gone", zap.String("worker", worker.Name), zap.Int64("born", worker.StartedMs), zap.Int("runs", len(state.runs)))
 	a.triggerReport()
 }
--- a/internal/jobagt/lease.go
+++ b/internal/jobagt/lease.go
@@ -31,6 +31,16 @@
 	return ended, true
 }
 
+// markLost notes that the runs on the worker have ended for certain. The leader gives its tasks to other workers then.
+// If the worker answers again after all, an order that the leader sent before must not start any of them, so nothing
+// starts before a grant that the leader gives afterwards. The caller holds a.mu.
+func (a *Agent) markLost() {
+	state := &a.state
+	state.lost = true
+	state.lostClock = state.lastListing.ClockMs
+	state.grantEnd = min(state.grantEnd, state.lostClock)
+}
+
 // endLease handles the end of the lease of a worker that doesn't answer. The runs on it have
 // ended, and orders that it hasn't answered must not start any when it answers again. The caller
 // holds a.mu.
@@ -54,8 +64,12 @@
 }
 
 // extendGrant takes a grant of the leader. While the worker drains, it ignores an answer to a report
-// that didn't say so yet: the leader expects that the lease ends sooner. The caller holds a.mu.
+// that didn't say so yet: the leader expects that the lease ends sooner. It also ignores an answer to
+// a report from before the worker was lost. The caller holds a.mu.
 func (a *Agent) extendGrant(end int64) {
+	if a.state.lostClock > 0 && end <= a.state.lostClock+a.cfg.leaseTerms().Grant(false).Milliseconds() {
+		return
+	}
 	if a.draining() && end > a.state.drainClock+a.cfg.leaseTerms().Grant(true).Milliseconds() {
 		return
 	}
--- a/internal/jobagt/lease_test.go
+++ b/internal/jobagt/lease_test.go
@@ -139,3 +139,23 @@
 	a.receiveOrders(&wire.HostOrders{Term: 2, Worker: "w", Born: 1, Lease: 6000})
 	require.EqualValues(t, 6000, a.renew())
 }
+
+// An order that the leader had sent before it heard that the worker's lease had ended was carried out when the worker
+// answered again, while the task had its next run on another worker.
+func TestOrderFromBeforeTheLossStartsNothing(t *testing.T) {
+	w := &fakeWorker{startAnswers: []any{ResultStarted}}
+	a, clk := newTestAgent(t, w)
+	a.renew()
+	clk.advance(5 * time.Second)
+	require.True(t, a.missHold())
+	a.receiveOrders(&wire.HostOrders{Term: 2, Worker: "w", Born: 1, Lease: 9000}) // the answer to a report from before
+	a.receiveOrders(startOrder(true))
+	a.receiveListing(Listing{Worker: testWorker, ClockMs: 6100})
+	require.Eventually(t, func() bool { return len(a.goneReasons()) == 1 }, testTimeout, time.Millisecond)
+	require.Equal(t, []string{"late"}, a.goneReasons())
+	require.Empty(t, w.receivedOrders())
+
+	a.receiveOrders(&wire.HostOrders{Term: 2, Worker: "w", Born: 1, Lease: 14_100, Starts: []*wire.RunStart{{Task: testTask, Run: 2, Fresh: true}}})
+	require.Eventually(t, func() bool { return len(w.receivedOrders()) == 1 }, testTimeout, time.Millisecond)
+	require.Equal(t, 2, w.lastStart.Run)
+}
