jobagt: an announced worker replaces the one in use only when it has answered

Cause: an announcement was believed before anybody had answered under it. It took the place of the worker in use at once, and only one answer took it back, the refusal by another worker (ErrOtherWorker). With an id that can't stand in a header each hold failed in the client instead. The same held for an announced worker that never answers.

Change: announced workers that haven't answered are candidates. Each gets a hold; the one that answers is used from then on. Until then the worker in use stays the one that is reported to the leader and whose lease is renewed, at every second hold or third. Candidates end when another worker answers at their name, or after a failure of any kind when the worker in use answers. Another incarnation of the worker in use is tried first, and blocks starts as before.

Tests changed: TestAnnouncementOfWorkerThatIsNotThereIsWithdrawn wanted the worker in use unlisted until the withdrawal; it now wants it listed all the while. TestLateAnnouncementOfUnknownIncarnationIsWithdrawn wanted the late announcement in force until an answer; it now wants it tried next, and no starts meanwhile. Announcements of the test worker name its service everywhere.

--- a/internal/jobagt/agent.go
+++ b/internal/jobagt/agent.go
@@ -41,8 +41,9 @@
 	ctx      context.Context // set by Run; an order outlives the stream that it arrived on
 
 	mu           sync.Mutex
-	announced    Announcement // the newest one
-	confirmed    Announcement // the newest one whose worker has answered
+	announced    Announcement // the newest one of the worker in use, which has answered
+	candidates   []candidate  // announced workers that haven't answered, those that are tried next first
+	probed       string       // name of the candidate that the last hold was for, "" if it was for the worker in use
 	exitReported bool         // the announced worker has reported that it exits now
 	state        workerState
 	term         uint64        // highest term of a leader that sent orders
--- a/internal/jobagt/agent_test.go
+++ b/internal/jobagt/agent_test.go
@@ -127,7 +127,7 @@
 func (a *Agent) receiveListing(l Listing) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.holdAnswered(l)
+	a.holdAnswered(l.Worker.Name, l)
 }
 
 func (a *Agent) goneReasons() []string {
@@ -194,7 +194,7 @@
 func TestDrainingWorkerStartsNothing(t *testing.T) {
 	w := &fakeWorker{startAnswers: []any{ResultStarted}}
 	a, _ := newTestAgent(t, w)
-	a.Announce(Announcement{Worker: testWorker, Seq: 2, Draining: true})
+	a.Announce(Announcement{Worker: testWorker, Service: "s", Seq: 2, Draining: true})
 	a.receiveOrders(startOrder(true))
 	require.Eventually(t, func() bool { return len(a.goneReasons()) == 1 }, testTimeout, time.Millisecond)
 	require.Empty(t, w.receivedOrders())
@@ -222,16 +222,16 @@
 	require.Zero(t, a.state.grantEnd)
 	require.Zero(t, a.state.leaseEnd)
 	require.False(t, a.buildReport().Listed, "the restarted worker has not announced itself")
-	a.Announce(Announcement{Worker: restarted, Seq: 1})
+	a.Announce(Announcement{Worker: restarted, Service: "s", Seq: 1})
 	require.True(t, a.buildReport().Listed)
-	a.Announce(Announcement{Worker: testWorker, Seq: 9})
+	a.Announce(Announcement{Worker: testWorker, Service: "s", Seq: 9})
 	require.Equal(t, restarted, a.announced.Worker, "a late announcement of the previous incarnation must be ignored")
 }
 
 func TestOldAnnouncementIsIgnored(t *testing.T) {
 	a, _ := newTestAgent(t, &fakeWorker{})
-	a.Announce(Announcement{Worker: testWorker, Seq: 3, Draining: true})
-	a.Announce(Announcement{Worker: testWorker, Seq: 2})
+	a.Announce(Announcement{Worker: testWorker, Service: "s", Seq: 3, Draining: true})
+	a.Announce(Announcement{Worker: testWorker, Service: "s", Seq: 2})
 	require.True(t, a.announced.Draining)
 }
 
@@ -314,19 +314,23 @@
 	a, _ := newTestAgent(t, &fakeWorker{})
 	stranger := jobs.Worker{Name: "x", StartedMs: 1 << 60}
 	a.Announce(Announcement{Worker: stranger, Service: "s", Seq: 1})
-	require.False(t, a.buildReport().Listed)
+	require.True(t, a.buildReport().Listed, "the worker in use stays until another one answers")
+	require.Equal(t, stranger, a.nextHold())
 	a.mu.Lock()
 	a.holdFailed(stranger, ErrOtherWorker)
 	a.mu.Unlock()
+	require.Empty(t, a.candidates)
 	require.Equal(t, testWorker, a.announced.Worker)
 	require.True(t, a.buildReport().Listed)
 
 	// The same before any worker has answered.
-	a.state, a.confirmed = workerState{}, Announcement{}
+	a.state, a.announced = workerState{}, Announcement{}
 	a.Announce(Announcement{Worker: stranger, Service: "s", Seq: 1})
 	a.mu.Lock()
 	a.holdFailed(stranger, ErrOtherWorker)
 	a.mu.Unlock()
 	a.Announce(Announcement{Worker: testWorker, Service: "s", Seq: 2})
+	require.Equal(t, testWorker, a.nextHold())
+	a.receiveListing(Listing{Worker: testWorker, ClockMs: 1000})
 	require.Equal(t, testWorker, a.announced.Worker)
 }
--- a/internal/jobagt/announce.go
+++ b/internal/jobagt/announce.go
@@ -9,39 +9,96 @@
 	"github.com/knapweedlug/knapweedlug/internal/jobs"
 )
 
-// maxReplaced is the number of former incarnations that are remembered. An announcement may be late by some
-// seconds, in which a worker restarts a few times at most.
-const maxReplaced = 16
+const (
+	// maxReplaced is the number of former incarnations that are remembered. An announcement may be late by some
+	// seconds, in which a worker restarts a few times at most.
+	maxReplaced = 16
+	// maxCandidates bounds the announced workers that haven't answered yet. Only one worker runs on a host.
+	maxCandidates = 16
+)
+
+// candidate is an announced worker that hasn't answered yet.
+type candidate struct {
+	ann    Announcement // the newest one
+	failed bool         // a hold to it got no answer
+}
 
 // Announce implements AnnouncementReceiver.
 //
-// Start times don't order incarnations, since the time of day may be set back between two starts. An announced
-// worker counts as there once it answers, and an incarnation that has answered before another one is over for good.
+// Anybody may announce a worker, and start times don't order incarnations, since the time of day may be set back between
+// two starts. So an announced worker replaces the one in use only when it has answered a hold. An incarnation that has
+// answered before another one is over for good.
 func (a *Agent) Announce(ann Announcement) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if reason := a.outdated(ann); reason != "" {
-		a.log.Info("old announcement ignored", zap.String("worker", ann.Worker.Name), zap.Int64("born", ann.Worker.StartedMs),
-			zap.Int64("seq", ann.Seq), zap.Int64("newest", a.announced.Seq), zap.String("why", reason))
-		return
-	}
 	if ann.Draining && ann.RemainMs > 0 {
 		ann.earliestExit = a.env.BootClock.Now().Add(time.Duration(ann.RemainMs) * time.Millisecond)
 	}
+	reason := ""
+	switch {
+	case slices.Contains(a.replaced, ann.Worker):
+		reason = "another incarnation has answered since"
+	case ann.Worker == a.announced.Worker:
+		reason = a.update(ann)
+	case ann.Worker == a.state.worker:
+		a.use(ann)
+	default:
+		reason = a.addCandidate(ann)
+	}
+	if reason != "" {
+		a.log.Info("announcement ignored", zap.String("worker", ann.Worker.Name), zap.Int64("born", ann.Worker.StartedMs), zap.Int64("seq", ann.Seq),
+			zap.String("service", ann.Service), zap.Int64("newest", a.announced.Seq), zap.String("why", reason))
+	}
+}
+
+// update takes a further announcement of the worker in use. It returns why it ignores it, or "". The caller holds a.mu.
+func (a *Agent) update(ann Announcement) string {
 	old := a.announced
-	if ann.Worker == a.confirmed.Worker && ann.Worker != old.Worker {
-		// The worker that answered last. It is taken again if the one announced since doesn't answer in its place.
-		a.confirmed = ann
-		return
+	if ann.Seq <= old.Seq {
+		return "a later one has come"
 	}
 	a.announced = ann
-	if ann.Worker != old.Worker || !ann.Draining {
+	if !ann.Draining {
 		// The report of an exit may have come late, from an earlier incarnation: it names only the worker.
 		a.exitReported = false
 	}
-	if ann.Worker == old.Worker && ann.Draining == old.Draining {
-		return
+	if ann.Draining != old.Draining {
+		a.announcementChanged()
 	}
+	return ""
+}
+
+// addCandidate takes an announcement of a worker that hasn't answered. It returns why it ignores it, or "". The caller
+// holds a.mu.
+func (a *Agent) addCandidate(ann Announcement) string {
+	i := slices.IndexFunc(a.candidates, func(c candidate) bool { return c.ann.Worker == ann.Worker })
+	switch {
+	case i >= 0 && ann.Seq <= a.candidates[i].ann.Seq:
+		return "a later one has come"
+	case i >= 0:
+		a.candidates[i].ann = ann
+		return ""
+	case len(a.candidates) >= maxCandidates:
+		oldest := slices.IndexFunc(a.candidates, func(c candidate) bool { return c.failed })
+		if oldest < 0 {
+			return "others haven't been tried yet"
+		}
+		a.candidates = slices.Delete(a.candidates, oldest, oldest+1)
+	}
+	a.candidates = append(a.candidates, candidate{ann: ann})
+	a.triggerHold()
+	return ""
+}
+
+// use makes an announcement the one of the worker in use, which has answered. The caller holds a.mu.
+func (a *Agent) use(ann Announcement) {
+	a.announced, a.exitReported = ann, false
+	a.announcementChanged()
+}
+
+// announcementChanged handles a change of the worker in use, or of whether it is draining. The caller holds a.mu.
+func (a *Agent) announcementChanged() {
+	ann := a.announced
 	a.log.Info("worker announced", zap.String("worker", ann.Worker.Name), zap.Int64("born", ann.Worker.StartedMs), zap.Int64("seq", ann.Seq),
 		zap.Bool("draining", ann.Draining), zap.Int64("remain", ann.RemainMs), zap.String("service", ann.Service))
 	if a.draining() {
@@ -51,19 +108,6 @@
 	a.triggerHold()
 }
 
-// outdated returns why an announcement says nothing new, or "". The caller holds a.mu.
-func (a *Agent) outdated(ann Announcement) string {
-	if slices.Contains(a.replaced, ann.Worker) {
-		return "another incarnation has answered since"
-	}
-	for _, known := range []Announcement{a.announced, a.confirmed} {
-		if ann.Worker == known.Worker && ann.Seq <= known.Seq {
-			return "a later one has come"
-		}
-	}
-	return ""
-}
-
 // noteReplaced remembers an incarnation in whose place another one answers. The caller holds a.mu.
 func (a *Agent) noteReplaced(w jobs.Worker) {
 	if w.Zero() {
@@ -73,35 +117,60 @@
 	a.replaced = a.replaced[max(0, len(a.replaced)-maxReplaced):]
 }
 
-// noteAnswer settles which announcement is in force after a worker has answered. The caller holds a.mu.
-func (a *Agent) noteAnswer(w jobs.Worker) {
-	switch w {
-	case a.announced.Worker:
-		a.confirmed = a.announced
-	case a.confirmed.Worker:
-		a.withdrawAnnouncement(a.announced.Worker)
+// noteAnswer settles which announced workers aren't there after a hold to a name was answered: the others of that name,
+// and those that a hold has not reached before. The caller holds a.mu.
+func (a *Agent) noteAnswer(name string, w jobs.Worker) {
+	kept := a.candidates[:0]
+	for _, c := range a.candidates {
+		switch {
+		case c.ann.Worker == w:
+			if a.announced.Worker != w {
+				a.use(c.ann)
+			}
+		case c.failed || c.ann.Worker.Name == name:
+			a.logWithdrawn(c.ann)
+		default:
+			kept = append(kept, c)
+		}
 	}
+	a.candidates = kept
 }
 
-// withdrawAnnouncement drops an announcement of a worker that isn't there: it came from somebody
-// else, or from a worker that has exited. The last confirmed announcement takes its place. It
-// reports whether there was one to drop. The caller holds a.mu.
-func (a *Agent) withdrawAnnouncement(worker jobs.Worker) bool {
-	if a.announced.Worker != worker || a.confirmed.Worker == worker {
-		return false
-	}
-	a.announced = Announcement{} // any worker may announce itself next
-	if a.confirmed.Worker == a.state.worker {
-		a.announced = a.confirmed
-	}
-	if a.draining() {
-		a.cutGrant()
+// withdraw drops the announcements of workers of a name, at which another worker answers: they came from somebody else,
+// or from a worker that has exited. It reports whether there were any. The caller holds a.mu.
+func (a *Agent) withdraw(name string) bool {
+	n := len(a.candidates)
+	a.candidates = slices.DeleteFunc(a.candidates, func(c candidate) bool {
+		if c.ann.Worker.Name == name {
+			a.logWithdrawn(c.ann)
+		}
+		return c.ann.Worker.Name == name
+	})
+	return len(a.candidates) < n
+}
+
+func (a *Agent) logWithdrawn(ann Announcement) {
+	a.log.Warn("announcement withdrawn: another worker answers", zap.String("worker", ann.Worker.Name), zap.Int64("born", ann.Worker.StartedMs),
+		zap.String("confirmed", a.state.worker.Name))
+}
+
+// noteProbeFailed puts the announced workers of a name behind the others. The caller holds a.mu.
+func (a *Agent) noteProbeFailed(name string) {
+	tried := func(c candidate) bool { return c.ann.Worker.Name == name }
+	var failed []candidate
+	for _, c := range a.candidates {
+		if tried(c) {
+			c.failed = true
+			failed = append(failed, c)
+		}
 	}
-	a.log.Warn("announcement withdrawn: another worker answers", zap.String("worker", worker.Name), zap.Int64("born", worker.StartedMs),
-		zap.String("confirmed", a.announced.Worker.Name))
-	a.triggerReport()
-	a.triggerHold()
-	return true
+	a.candidates = append(slices.DeleteFunc(a.candidates, tried), failed...)
+}
+
+// mayHaveRestarted reports whether another incarnation of a worker is announced, which may be the one that gets the
+// next order. The caller holds a.mu.
+func (a *Agent) mayHaveRestarted(w jobs.Worker) bool {
+	return slices.ContainsFunc(a.candidates, func(c candidate) bool { return c.ann.Worker.Name == w.Name })
 }
 
 // Leave implements AnnouncementReceiver. An announcement as ready that follows takes it back.
--- a/internal/jobagt/announce_test.go
+++ b/internal/jobagt/announce_test.go
@@ -41,8 +41,10 @@
 		late := jobs.Worker{Name: "w", StartedMs: born}
 		a.Announce(Announcement{Worker: late, Service: "s", Seq: 9})
 		a.Announce(Announcement{Worker: testWorker, Service: "s", Seq: 2, Draining: true, RemainMs: 2000})
-		require.Equal(t, late, a.announced.Worker, "it may be the next incarnation, until one of them answers")
+		require.True(t, a.mayHaveRestarted(testWorker), "it may be the next incarnation, until one of them answers")
+		require.Equal(t, late, a.nextHold())
 		a.receiveListing(Listing{Worker: testWorker, ClockMs: 1100})
+		require.False(t, a.mayHaveRestarted(testWorker))
 		require.Equal(t, testWorker, a.announced.Worker)
 		require.True(t, a.announced.Draining, "the last announcement of the worker that answers is in force")
 		require.True(t, a.buildReport().Listed)
--- a/internal/jobagt/givenup_test.go
+++ b/internal/jobagt/givenup_test.go
@@ -33,8 +33,8 @@
 		},
 		"draining": {
 			ResultStarted,
-			func(a *Agent, _ *fakeClock) { a.Announce(Announcement{Worker: testWorker, Seq: 2, Draining: true}) },
-			func(a *Agent, _ *fakeClock) { a.Announce(Announcement{Worker: testWorker, Seq: 3}) },
+			func(a *Agent, _ *fakeClock) { a.Announce(Announcement{Worker: testWorker, Service: "s", Seq: 2, Draining: true}) },
+			func(a *Agent, _ *fakeClock) { a.Announce(Announcement{Worker: testWorker, Service: "s", Seq: 3}) },
 			"worker drains",
 		},
 	} {
--- a/internal/jobagt/hold.go
+++ b/internal/jobagt/hold.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -37,9 +38,7 @@
 // sendHolds sends holds to the worker until ctx is done.
 func (a *Agent) sendHolds(ctx context.Context) error {
 	for ctx.Err() == nil {
-		a.mu.Lock()
-		worker := a.announced.Worker
-		a.mu.Unlock()
+		worker := a.nextHold()
 		if worker.Zero() {
 			a.pause(ctx, holdWait)
 			continue
@@ -53,6 +52,29 @@
 	return nil
 }
 
+// nextHold returns the worker that the next hold is for. Candidates come before the worker in use, first of all another
+// incarnation of it, which must not get a hold that is meant for the earlier one. But after a candidate, and one more if
+// that is such an incarnation, it is the turn of the worker in use, so that no number of candidates keeps its lease from
+// being renewed.
+func (a *Agent) nextHold() jobs.Worker {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	inUse := a.announced.Worker
+	next := inUse
+	restarted := slices.IndexFunc(a.candidates, func(c candidate) bool { return c.ann.Worker.Name == inUse.Name })
+	switch {
+	case restarted >= 0 && a.probed != inUse.Name:
+		next = a.candidates[restarted].ann.Worker
+	case len(a.candidates) > 0 && (a.probed == "" || inUse.Zero()):
+		next = a.candidates[0].ann.Worker
+	}
+	a.probed = ""
+	if next != inUse {
+		a.probed = next.Name
+	}
+	return next
+}
+
 // pause waits for d, or less if a hold becomes due.
 func (a *Agent) pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
@@ -94,7 +116,7 @@
 		a.holdFailed(worker, err)
 		return false
 	}
-	a.holdAnswered(listing)
+	a.holdAnswered(worker.Name, listing)
 	return true
 }
 
@@ -111,9 +133,10 @@
 // holdFailed handles a hold without an answer. The caller holds a.mu.
 func (a *Agent) holdFailed(worker jobs.Worker, err error) {
 	a.log.Debug("worker did not answer", zap.String("worker", worker.Name), zap.Error(err))
-	if errors.Is(err, ErrOtherWorker) && a.withdrawAnnouncement(worker) {
+	if errors.Is(err, ErrOtherWorker) && a.withdraw(worker.Name) {
 		return
 	}
+	a.noteProbeFailed(worker.Name)
 	state := &a.state
 	if state.worker != worker || state.lost {
 		return
@@ -178,8 +201,8 @@
 	}
 }
 
-// holdAnswered stores a worker's listing. The caller holds a.mu.
-func (a *Agent) holdAnswered(listing Listing) {
+// holdAnswered stores a worker's listing, which is the answer to a hold to a name. The caller holds a.mu.
+func (a *Agent) holdAnswered(name string, listing Listing) {
 	state := &a.state
 	if state.worker != listing.Worker {
 		a.log.Info("worker answers", zap.String("worker", listing.Worker.Name), zap.Int64("born", listing.Worker.StartedMs),
@@ -189,7 +212,7 @@
 	becameUsable := !state.usable()
 	newEnds := len(listing.Ends) > 0 && (len(state.lastListing.Ends) == 0 || listing.Ends[len(listing.Ends)-1].Number > state.lastListing.Ends[len(state.lastListing.Ends)-1].Number)
 	state.listed, state.misses, state.refusals, state.lost = true, 0, 0, false
-	a.noteAnswer(listing.Worker)
+	a.noteAnswer(name, listing.Worker)
 	state.lastListing, state.listedAt = listing, a.env.BootClock.Now()
 	state.listingCount++
 	state.dropLateStarts(state.listedAt)
--- a/internal/jobagt/run.go
+++ b/internal/jobagt/run.go
@@ -265,7 +265,7 @@
 	if !stop {
 		start.LeaseEnd = min(r.grantEnd, a.renewLease())
 	}
-	draining, otherAnnounced := a.announced.Draining, a.announced.Worker != worker
+	draining, otherAnnounced := a.announced.Draining, a.announced.Worker != worker || a.mayHaveRestarted(worker)
 	answering, leaseLeft := a.state.misses == 0, a.leaseLeft(start.LeaseEnd)
 	a.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
