jobagt: an announcement that contradicts the worker's own ones is ignored

Cause: the number alone decided which announcement of an incarnation is in force, whatever else it said.

Change: what doesn't change during the life of a worker is compared. An announcement that contradicts the one in force is ignored, unless it is the third in a row: if the odd one came first, the worker's own ones prevail. Its number counts for nothing.

Evidence: before, TestContradictingAnnouncementIsIgnored fails for service, address, capacity and labels. An announcement that differs in the number and the draining state alone can't be told from the worker's own.

--- a/internal/jobagt/agent.go
+++ b/internal/jobagt/agent.go
@@ -44,6 +44,7 @@
 	announced    Announcement // the newest one of the worker in use, which has answered
 	candidates   []candidate  // announced workers that haven't answered, those that are tried next first
 	probed       string       // name of the candidate that the last hold was for, "" if it was for the worker in use
+	deviations   int          // announcements that contradict announced, since the last one that doesn't
 	exitReported bool         // the announced worker has reported that it exits now
 	state        workerState
 	term         uint64        // highest term of a leader that sent orders
--- a/internal/jobagt/announce.go
+++ b/internal/jobagt/announce.go
@@ -15,6 +15,9 @@
 	maxReplaced = 16
 	// maxCandidates bounds the announced workers that haven't answered yet. Only one worker runs on a host.
 	maxCandidates = 16
+	// maxDeviations is how many announcements in a row may describe the worker in another way before that is believed.
+	// A worker's own announcements come between those of another writer.
+	maxDeviations = 2
 )
 
 // candidate is an announced worker that hasn't answered yet.
@@ -23,6 +26,12 @@
 	failed bool         // a hold to it got no answer
 }
 
+// describesSame reports whether two announcements of an incarnation agree on what doesn't change during its life.
+func (ann Announcement) describesSame(other Announcement) bool {
+	return ann.Service == other.Service && ann.Address == other.Address && ann.CPU == other.CPU && ann.Memory == other.Memory &&
+		ann.Accels == other.Accels && slices.Equal(ann.Labels, other.Labels)
+}
+
 // Announce implements AnnouncementReceiver.
 //
 // Anybody may announce a worker, and start times don't order incarnations, since the time of day may be set back between
@@ -54,9 +63,14 @@
 // update takes a further announcement of the worker in use. It returns why it ignores it, or "". The caller holds a.mu.
 func (a *Agent) update(ann Announcement) string {
 	old := a.announced
-	if ann.Seq <= old.Seq {
+	if !ann.describesSame(old) {
+		if a.deviations++; a.deviations <= maxDeviations {
+			return "it contradicts earlier ones"
+		}
+	} else if ann.Seq <= old.Seq {
 		return "a later one has come"
 	}
+	a.deviations = 0
 	a.announced = ann
 	if !ann.Draining {
 		// The report of an exit may have come late, from an earlier incarnation: it names only the worker.
@@ -92,7 +106,7 @@
 
 // use makes an announcement the one of the worker in use, which has answered. The caller holds a.mu.
 func (a *Agent) use(ann Announcement) {
-	a.announced, a.exitReported = ann, false
+	a.announced, a.exitReported, a.deviations = ann, false, 0
 	a.announcementChanged()
 }
 
--- a/internal/jobagt/candidate_test.go
+++ b/internal/jobagt/candidate_test.go
@@ -116,3 +116,41 @@
 		})
 	}
 }
+
+// An announcement of the worker in use with another service and a high number took it out of use for good, as its own
+// ones, with lower numbers, counted as late.
+func TestContradictingAnnouncementIsIgnored(t *testing.T) {
+	for name, odd := range map[string]Announcement{
+		"service":  {Service: "other"},
+		"address":  {Service: "s", Address: "10.0.0.9:1"},
+		"capacity": {Service: "s", Accels: 1 << 30},
+		"labels":   {Service: "s", Labels: []string{"a", "r9"}},
+	} {
+		odd.Worker, odd.Seq = testWorker, 1<<40
+		t.Run(name, func(t *testing.T) {
+			a, clk := newTestAgent(t, &fakeWorker{})
+			for seq := int64(2); seq < 10; seq++ {
+				a.Announce(odd)
+				a.Announce(Announcement{Worker: testWorker, Service: "s", Seq: seq, Draining: seq == 9})
+				rep := a.buildReport()
+				require.Equal(t, "s", rep.Service)
+				require.Zero(t, rep.Accels)
+				require.Empty(t, rep.Labels)
+				require.Equal(t, seq, rep.Seq)
+			}
+			require.True(t, a.buildReport().Draining)
+
+			// If it came first, the worker's own announcements prevail.
+			a.state, a.announced = workerState{}, Announcement{}
+			odd.Seq++
+			a.Announce(odd)
+			a.receiveListing(Listing{Worker: testWorker, ClockMs: 1000})
+			for seq := int64(10); seq < 13; seq++ {
+				clk.advance(1500 * time.Millisecond)
+				a.Announce(Announcement{Worker: testWorker, Service: "s", Seq: seq})
+			}
+			require.Equal(t, "s", a.buildReport().Service)
+			require.EqualValues(t, 12, a.buildReport().Seq)
+		})
+	}
+}
