--- a/internal/jobagt/givenup_test.go
+++ b/internal/jobagt/givenup_test.go
@@ -33,7 +33,9 @@
 		},
 		"draining": {
 			ResultStarted,
-			func(a *Agent, _ *fakeClock) { a.Announce(Announcement{Worker: testWorker, Service: "s", Seq: 2, Draining: true}) },
+			func(a *Agent, _ *fakeClock) {
+				a.Announce(Announcement{Worker: testWorker, Service: "s", Seq: 2, Draining: true})
+			},
 			func(a *Agent, _ *fakeClock) { a.Announce(Announcement{Worker: testWorker, Service: "s", Seq: 3}) },
 			"worker drains",
 		},
