jobent: calls that can't be encoded are answered at once

Cause: the entry takes any bytes at its door, and the call to the leader couldn't be encoded. That looked like a leader that doesn't answer, so the entry closed its session to it, which all calls share, and tried again until the deadline.

Change: such a key is nobody's, and such a path names nothing, which the leader answers with 401, 404 or 410. A message that can't be sent (wire.ErrUnsendable: not encodable, or too large) is refused at the first attempt, and the session stays.

--- a/internal/jobent/entry.go
+++ b/internal/jobent/entry.go
@@ -7,8 +7,10 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
@@ -153,7 +155,7 @@
 // Call implements CallHandler.
 func (e *Entry) Call(ctx context.Context, r Request) Answer {
 	start := e.env.BootClock.Now()
-	req := &wire.JobCall{Kind: string(r.Kind), Host: r.Host, Path: r.Path, Key: r.Key, Request: uuid.NewString()}
+	req := newJobCall(r)
 	if r.Spec != nil {
 		body, err := json.Marshal(r.Spec)
 		if err != nil {
@@ -175,6 +177,19 @@
 	return a
 }
 
+// newJobCall returns the call to the leader for a request. Strings in it have to be UTF-8: a key that isn't belongs to
+// nobody, and no queue or job has a name with the replacement character that stands for other bytes.
+func newJobCall(r Request) *wire.JobCall {
+	const replacement = "\uFFFD"
+	call := &wire.JobCall{
+		Kind: string(r.Kind), Host: strings.ToValidUTF8(r.Host, replacement), Path: strings.ToValidUTF8(r.Path, replacement), Request: uuid.NewString(),
+	}
+	if utf8.ValidString(r.Key) {
+		call.Key = r.Key
+	}
+	return call
+}
+
 // callLeader sends a call to the current leader and retries until the call is
 // answered or ctx is done. It returns the number of attempts. All calls are
 // idempotent, so that a call with an unknown result may be retried.
@@ -193,6 +208,9 @@
 		if err == nil {
 			return finalAnswer(jobs.CallKind(req.Kind), newAnswer(rep, e.env.BootClock.Now()), unanswered), attempts, nil
 		}
+		if errors.Is(err, wire.ErrUnsendable) {
+			return finalAnswer(jobs.CallKind(req.Kind), Answer{Outcome: jobs.Invalid}, unanswered), attempts, err
+		}
 		lastErr = err
 		if ctx.Err() == nil {
 			// The leader may have lost its term, hang or be disconnected, and
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -24,6 +24,10 @@
 // decoded.
 var ErrMalformedFrame = errors.New("malformed frame")
 
+// ErrUnsendable is returned, as a kind of ErrMalformedFrame, for a message of which nothing was sent because it is too
+// large or can't be encoded. Sending it again won't help.
+var ErrUnsendable = errors.Wrap(ErrMalformedFrame, "can't be sent")
+
 // WriteMessage writes one framed message with a single Write.
 func WriteMessage(w io.Writer, m proto.Message) error { return WriteMessages(w, m) }
 
@@ -39,11 +43,11 @@
 		buf = append(buf, make([]byte, lengthPrefixSize)...)
 		var err error
 		if buf, err = (proto.MarshalOptions{}).MarshalAppend(buf, m); err != nil {
-			return errors.Wrap(err, "encode frame")
+			return errors.Wrapf(ErrUnsendable, "encode frame: %v", err)
 		}
 		n := len(buf) - start - lengthPrefixSize
 		if n > MaxFrameBytes {
-			return errors.Wrapf(ErrMalformedFrame, "message of %d bytes, at most %d", n, MaxFrameBytes)
+			return errors.Wrapf(ErrUnsendable, "message of %d bytes, at most %d", n, MaxFrameBytes)
 		}
 		binary.BigEndian.PutUint32(buf[start:], uint32(n))
 	}
