jobctl: what the doors take fits into the log, and what doesn't fit is refused

Operators: from some 2,500 routes on each configuration was answered 503 for good, also one that took a key away. Callers: a job whose text grows with its encoding was answered 504 at its deadline, and the calls of others at its entry were disturbed meanwhile.

Cause: the doors take configurations of 3 MiB and jobs of 256 KiB, a command of the log had 1 MiB. ErrTooLarge looked like a leader that has lost its term, so that the call was tried again.

Change: a command may be as large as a message between replicas, less 1 MiB. One that is larger, or a call that can't be sent, is refused as invalid.

--- a/internal/jobctl/call.go
+++ b/internal/jobctl/call.go
@@ -58,6 +58,9 @@
 		return errors.Wrap(err, "encode configuration")
 	}
 	rep, err := c.call(ctx, &wire.JobCall{Kind: string(jobs.CallPutConfig), Body: body})
+	if errors.Is(err, wire.ErrUnsendable) {
+		return errors.Wrap(jobs.ErrInvalidConfig, err.Error())
+	}
 	if err != nil {
 		return errors.Wrap(errors.CombineErrors(ErrUnavailable, err), "store configuration")
 	}
@@ -151,6 +154,9 @@
 		return reply(jobs.Invalid, err.Error()), fields, nil
 	}
 	res, err := l.propose(ctx, jobs.Command{Config: cfg})
+	if errors.Is(err, replog.ErrTooLarge) {
+		return reply(jobs.Invalid, err.Error()), fields, nil
+	}
 	if err != nil {
 		return nil, fields, err
 	}
@@ -221,6 +227,8 @@
 	fields := append(t.fields(), specFields(spec)...)
 	fields = append(fields, zap.Int("priority", q.Priority), zap.Float64("slack", q.SlackFactor), zap.Int64("target", q.TargetMs))
 	switch {
+	case errors.Is(err, replog.ErrTooLarge):
+		return reply(jobs.Invalid, err.Error()), fields, nil
 	case err != nil:
 		return nil, fields, err
 	case errors.Is(res.Err, jobs.ErrConflict):
--- a/internal/jobctl/control.go
+++ b/internal/jobctl/control.go
@@ -120,13 +120,17 @@
 	return nil
 }
 
+// maxCommandBytes is the largest size of a command. A message between replicas has room for one, and it has room for the
+// largest configuration that an operator may send, in both its forms.
+const maxCommandBytes = wire.MaxFrameBytes - 1<<20
+
 // logOptions returns the options of the replicated log.
 func (c *Control) logOptions() replog.Options {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(c.cfg.Address)) // never fails
 	opt := replog.Options{
 		Name: c.cfg.Address, Cluster: c.env.Node.Cluster, Seed: h.Sum64() ^ uint64(c.env.BootClock.Now().UnixNano()),
-		Clock: c.env.BootClock, FirstStart: c.cfg.FirstStart,
+		Clock: c.env.BootClock, FirstStart: c.cfg.FirstStart, MaxCommandBytes: maxCommandBytes,
 	}
 	for _, addr := range c.cfg.seedReplicas() {
 		// Only on the very first start may replicas form a new cluster. Later an
--- a/internal/jobctl/control_test.go
+++ b/internal/jobctl/control_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -249,6 +250,16 @@
 	require.Equal(t, map[string]bool{idA + ".0.0.0": false, idB + ".0.0.0": true}, got)
 }
 
+// A command that is too large for the log looked like a leader that has lost its term, so that the caller tried again.
+func TestJobThatIsTooLargeIsRefused(t *testing.T) {
+	s := startCluster(t)
+	spec := oneTask()
+	spec.Steps[0].Image = strings.Repeat("i", 7<<20)
+	caller := s.dial("jobentry", "e1")
+	require.Equal(t, string(jobs.Invalid), s.call(caller, jobs.CallSubmit, "/q/"+idA, spec).Outcome)
+	require.Equal(t, string(jobs.Accepted), s.call(caller, jobs.CallSubmit, "/q/"+idB, oneTask()).Outcome)
+}
+
 // A run that was ordered and that the worker doesn't report is ordered again.
 func TestMissingRunIsOrderedAgain(t *testing.T) {
 	s := startCluster(t)
