jobs, jobctl: jobs follow their queues and teams when an operator renames them

A repeated submission was a conflict, and the queue's number of waiting jobs left the job out. A team that took the name of a removed one got at the jobs of that one.

Cause: jobs, estimates and guarantees were tied to names, which are the operator's to change. What stays is the place of a queue, at which callers reach it, and the keys of a team, with which they identify themselves.

Change: a job stores its place. When a configuration comes into force, the state machine gives jobs and learned estimates the names and services that it has for their places and keys, in one step, so that names may be exchanged. A team that is gone leaves its jobs an owner of their own, who gets them back when a key of it returns under any name. A route that only moves keeps its jobs. Submissions name the configuration that they were checked against; if another one is in force, the leader checks them again. Jobs of earlier releases get their place from the configuration that they were stored under.

TestListedRunMakesItsJobBegun and others count the jobs of a queue instead of those of a name.

--- a/internal/allot/restore.go
+++ b/internal/allot/restore.go
@@ -25,6 +25,18 @@
 	maps.Copy(l.storedLogSeconds, learned.LogTaskSeconds)
 }
 
+// RenameQueues gives the estimates of queues their new names, which are given by the old ones.
+func (l *Learner) RenameQueues(renamed map[string]string) {
+	l.queueLogSeconds = jobs.RenameKeys(l.queueLogSeconds, renamed)
+	l.storedLogSeconds = jobs.RenameKeys(l.storedLogSeconds, renamed)
+	l.estimateErrors = jobs.RenameKeys(l.estimateErrors, renamed)
+	for _, record := range l.steps {
+		if name, ok := renamed[record.queue]; ok {
+			record.queue = name
+		}
+	}
+}
+
 const (
 	// minStoredChange is by how much a logarithm has to change before it is stored for the next leader.
 	minStoredChange = 0.1
--- a/internal/jobctl/call.go
+++ b/internal/jobctl/call.go
@@ -160,9 +160,27 @@
 	if err != nil {
 		return nil, fields, err
 	}
+	l.renameQueues(res.RenamedQueues)
 	return reply(jobs.Stored, ""), append(fields, zap.Uint64("inforce", res.Version)), res.Err
 }
 
+// renameQueues gives the estimates of this leader the new names of queues.
+func (l *leader) renameQueues(renamed map[string]string) {
+	if len(renamed) == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.learner.RenameQueues(renamed)
+	for k, run := range l.runs {
+		if name, ok := renamed[run.queue]; ok {
+			run.queue = name
+			l.runs[k] = run
+		}
+	}
+	l.log.Info("queues renamed", zap.Any("names", renamed), zap.Uint64("term", l.term))
+}
+
 // callTarget is the queue, team and job that a call refers to.
 type callTarget struct {
 	queue         jobs.Queue
@@ -202,6 +220,16 @@
 	if err := json.Unmarshal(req.Body, spec); err != nil {
 		return reply(jobs.Invalid, err.Error()), nil, nil
 	}
+	rep, fields, err := l.submitSpec(ctx, req, spec)
+	for errors.Is(err, jobs.ErrStaleConfig) && ctx.Err() == nil {
+		rep, fields, err = l.submitSpec(ctx, req, spec)
+	}
+	return rep, fields, err
+}
+
+// submitSpec checks and commits a job under the names of the configuration in force. It returns ErrStaleConfig if another
+// one has come into force meanwhile.
+func (l *leader) submitSpec(ctx context.Context, req *wire.JobCall, spec *jobs.Spec) (*wire.JobReply, []zap.Field, error) {
 	var t callTarget
 	var rep *wire.JobReply
 	if err := l.view(ctx, func(v jobs.View) { t, rep = findTarget(v.Config(), req) }); err != nil {
@@ -222,7 +250,7 @@
 	q := t.queue
 	res, err := l.propose(ctx, jobs.Command{Submit: &jobs.Submit{
 		ID: t.id, Queue: q.Name, Service: q.Service, Team: t.team, Priority: q.Priority,
-		MaxAttempts: q.MaxAttempts, SlackFactor: q.SlackFactor, TargetMs: q.TargetMs, Spec: spec,
+		MaxAttempts: q.MaxAttempts, SlackFactor: q.SlackFactor, TargetMs: q.TargetMs, Spec: spec, Place: q.Place(), ConfigVersion: t.configVersion,
 	}})
 	fields := append(t.fields(), specFields(spec)...)
 	fields = append(fields, zap.Int("priority", q.Priority), zap.Float64("slack", q.SlackFactor), zap.Int64("target", q.TargetMs))
@@ -263,7 +291,7 @@
 
 // mayAccess reports whether a call may read or cancel a job.
 func (t callTarget) mayAccess(j *jobs.Job) bool {
-	return j.Queue == t.queue.Name && (j.Team == "" || j.Team == t.team || t.queue.Public)
+	return t.queue.Has(j) && (j.Team == "" || j.Team == t.team || t.queue.Public)
 }
 
 // cancel commits the cancellation of a job unless the job has ended.
@@ -304,7 +332,7 @@
 			return
 		}
 		if t.id == "" {
-			rep = &wire.JobReply{Outcome: string(jobs.Counted), Count: uint32(v.PendingCount(t.queue.Name))}
+			rep = &wire.JobReply{Outcome: string(jobs.Counted), Count: uint32(v.PendingCount(t.queue))}
 			return
 		}
 		j, ok := v.Job(t.id)
--- a/internal/jobctl/control_test.go
+++ b/internal/jobctl/control_test.go
@@ -42,7 +42,8 @@
 	env     *kern.Env
 	addr    string
 
-	retry bool // calls are marked as retries
+	retry bool   // calls are marked as retries
+	key   string // of the callers
 }
 
 func freeAddr(t *testing.T) string {
@@ -66,7 +67,7 @@
 
 func startCluster(t *testing.T) *testCluster {
 	t.Helper()
-	s := &testCluster{t: t, env: newEnv("c1"), addr: freeAddr(t)}
+	s := &testCluster{t: t, env: newEnv("c1"), addr: freeAddr(t), key: "k"}
 	cfg := &jobctl.Settings{
 		Address: s.addr, OperatorAddress: freeAddr(t), Seeds: []string{s.addr}, DataDir: t.TempDir(), FirstStart: true,
 		RenewalTimeoutMs: 10000, ExpiryDelayMs: 300, RemoteFactor: 3, StatusRetentionS: 120, MaxStopMs: 400, RestoreMs: 600,
@@ -108,10 +109,10 @@
 	return sess
 }
 
-// call sends a call with the key of team t and returns the reply.
+// call sends a call with the key and returns the reply.
 func (s *testCluster) call(sess *wire.Session, kind jobs.CallKind, path string, spec *jobs.Spec) *wire.JobReply {
 	s.t.Helper()
-	req := &wire.JobCall{Kind: string(kind), Host: "h", Path: path, Key: "k", Again: s.retry}
+	req := &wire.JobCall{Kind: string(kind), Host: "h", Path: path, Key: s.key, Again: s.retry}
 	if spec != nil {
 		body, err := json.Marshal(spec)
 		require.NoError(s.t, err)
--- a/internal/jobctl/input.go
+++ b/internal/jobctl/input.go
@@ -218,9 +218,7 @@
 			if j.Spec.RepeatCount == 0 && len(j.Spec.Steps[i].DependsOn) == 0 {
 				p.ReadyAt = l.acceptedAt(j)
 			}
-			if q, ok := v.Config().Queue(j.Queue); ok {
-				p.Service = q.Service
-			}
+			p.Service = v.ServiceOf(j)
 			l.setDeadlines(&p, j, i, k, wallMs)
 			list = append(list, p)
 		}
--- a/internal/jobs/begun_test.go
+++ b/internal/jobs/begun_test.go
@@ -10,7 +10,7 @@
 )
 
 func (l *testLog) pendingCount() (n int) {
-	l.state.Read(func(v jobs.View) { n = v.PendingCount("q") })
+	l.state.Read(func(v jobs.View) { n = v.PendingCount(jobs.Queue{Name: "q"}) })
 	return n
 }
 
--- a/internal/jobs/command.go
+++ b/internal/jobs/command.go
@@ -11,6 +11,8 @@
 	ErrFenced     = errors.New("a newer leader has begun")
 	ErrConflict   = errors.New("the id belongs to another job")
 	ErrUnknownJob = errors.New("no such job")
+	// ErrStaleConfig means that a job names its queue and team by another configuration than the one in force.
+	ErrStaleConfig = errors.New("another configuration is in force")
 )
 
 // Command is one entry of the replicated log. Its parts are applied in the order of
@@ -59,6 +61,9 @@
 	SlackFactor float64 `json:"slack"`
 	TargetMs    int64   `json:"target"`
 	Spec        *Spec   `json:"spec"`
+
+	Place         string `json:"place,omitempty"`  // of the queue
+	ConfigVersion uint64 `json:"config,omitempty"` // of the configuration that has these names; 0 if it isn't known
 }
 
 // RunEnds lists runs that a worker reported as ended, in the order of their numbers.
@@ -109,6 +114,8 @@
 	Err     error  // a sentinel error of this package, a decoding error, or nil
 	Phase   Phase  // of the job submitted or canceled
 	Version uint64 // of the configuration in force
+	// RenamedQueues holds the new names, by their old ones, of queues that the command's configuration has renamed.
+	RenamedQueues map[string]string
 	// Runs holds the run number for each of the command's starts, 0 for one that was
 	// rejected. Refusals holds the reasons, "" for starts that were accepted.
 	Runs     []int
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -44,10 +44,12 @@
 // Zero reports whether w identifies no worker.
 func (w Worker) Zero() bool { return w.Name == "" }
 
-// Job is an accepted job and its progress. The fields up to Spec come from its Submit.
+// Job is an accepted job and its progress. The fields up to Spec come from its Submit; queue, place, service and team
+// follow the configuration.
 type Job struct {
 	ID          string  `json:"id"`
 	Queue       string  `json:"queue"`
+	Place       string  `json:"place,omitempty"` // of the queue; "" for jobs of earlier releases until the next configuration
 	Service     string  `json:"service"`
 	Team        string  `json:"team"`
 	Priority    int     `json:"priority"`
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -29,6 +29,7 @@
 	// Estimates of the leaders so far, from which a new leader starts.
 	Speeds         map[string]WorkerSpeed `json:"speeds,omitempty"` // by worker key
 	LogTaskSeconds map[string]float64     `json:"work,omitempty"`   // by queue
+	FormerTeams    []formerTeam           `json:"former,omitempty"`
 }
 
 // New returns an empty state.
@@ -110,7 +111,7 @@
 	d.Term = c.Term
 	res := Result{}
 	if c.Config != nil && c.Config.Version > d.Config.Version {
-		d.Config = c.Config
+		res.RenamedQueues = d.replaceConfig(c.Config)
 	}
 	if c.Submit != nil {
 		res.Phase, res.Err = d.submit(c.Submit, c.NowMs)
@@ -159,20 +160,32 @@
 // submit adds a job. A job that is already stored with the same content is accepted
 // again.
 func (d *stateData) submit(s *Submit, nowMs int64) (Phase, error) {
+	if s.ConfigVersion != 0 && s.ConfigVersion != d.Config.Version {
+		return "", ErrStaleConfig
+	}
 	if j, ok := d.Jobs[s.ID]; ok {
-		if j.Queue != s.Queue || j.Team != s.Team || !reflect.DeepEqual(j.Spec, s.Spec) {
+		if !s.sameQueue(j) || j.Team != s.Team || !reflect.DeepEqual(j.Spec, s.Spec) {
 			return j.Phase, ErrConflict
 		}
 		return j.Phase, nil
 	}
 	d.Jobs[s.ID] = &Job{
-		ID: s.ID, Queue: s.Queue, Service: s.Service, Team: s.Team, Priority: s.Priority,
+		ID: s.ID, Queue: s.Queue, Place: s.Place, Service: s.Service, Team: s.Team, Priority: s.Priority,
 		MaxAttempts: max(1, s.MaxAttempts), SlackFactor: s.SlackFactor, TargetMs: s.TargetMs, Spec: s.Spec,
 		AcceptedMs: nowMs, AcceptedIndex: d.Index, Phase: Pending, Occurrences: map[int]*Occurrence{},
 	}
 	return Pending, nil
 }
 
+// sameQueue reports whether a stored job is one of the queue that s is for. Jobs that an earlier release has stored or
+// submitted have no place.
+func (s *Submit) sameQueue(j *Job) bool {
+	if s.Place == "" || j.Place == "" {
+		return s.Queue == j.Queue
+	}
+	return s.Place == j.Place
+}
+
 // cancel cancels a job that hasn't ended and returns the phase of the job.
 func (d *stateData) cancel(id string, nowMs int64) (Phase, error) {
 	j, ok := d.Jobs[id]
--- a/internal/jobs/view.go
+++ b/internal/jobs/view.go
@@ -64,16 +64,24 @@
 }
 
 // PendingCount returns the number of jobs of a queue of which no worker has begun a task.
-func (v View) PendingCount(queue string) int {
+func (v View) PendingCount(queue Queue) int {
 	n := 0
 	for _, j := range v.data.Jobs {
-		if j.Queue == queue && j.Phase == Pending {
+		if j.Phase == Pending && queue.Has(j) {
 			n++
 		}
 	}
 	return n
 }
 
+// ServiceOf returns the service whose workers run the tasks of a job.
+func (v View) ServiceOf(j *Job) string {
+	if q, ok := v.data.Config.Queue(j.Queue); ok && j.Place == "" {
+		return q.Service
+	}
+	return j.Service
+}
+
 // Key returns the worker as a map key of the form NAME/START, where START is its start
 // time in Unix milliseconds.
 func (w Worker) Key() string { return w.Name + "/" + strconv.FormatInt(w.StartedMs, 10) }
