jobctl: huge estimates, slack factors and targets don't overflow

Callers' estimates and operators' slack factors and targets are taken up to 2^40 ms, any number and 2^63. Multiplied by the rounds of a step and the factor 3 they overflowed: the deadline of such a job lay in the past, so that it went before all others or counted as hopeless, by the kind of processor.

Change: each expected duration is 1,000 hours at most.

Evidence: before, TestHugeExpectationsDoNotOverflow fails for estimate, slack factor and all (deadlines in the wrong order).

--- a/internal/jobctl/input.go
+++ b/internal/jobctl/input.go
@@ -356,7 +356,16 @@
 // furtherRoundsDuration returns the expected duration of a number of tasks of a step
 // beyond the duration of one task.
 func (l *leader) furtherRoundsDuration(j *jobs.Job, step, tasks int) time.Duration {
-	return time.Duration((l.rounds(j, step, tasks) - 1) * float64(l.taskDuration(j, step)))
+	return multiply(l.taskDuration(j, step), l.rounds(j, step, tasks)-1)
+}
+
+// maxExpected bounds each expected duration, so that their sums and small multiples fit into a time.Duration whatever
+// callers and operators state.
+const maxExpected = 1000 * time.Hour
+
+// multiply returns a multiple of an expected duration.
+func multiply(d time.Duration, factor float64) time.Duration {
+	return time.Duration(min(max(float64(d)*factor, 0), float64(maxExpected)))
 }
 
 // durationCache holds the expected durations of tasks and jobs while the input of one plan is put together. They
@@ -380,7 +389,8 @@
 			return d
 		}
 	}
-	d := l.learner.TaskDuration(id, j.Queue, time.Duration(j.Spec.Steps[step].EstimateMs)*time.Millisecond)
+	estimate := time.Duration(min(j.Spec.Steps[step].EstimateMs, maxExpected.Milliseconds())) * time.Millisecond
+	d := min(l.learner.TaskDuration(id, j.Queue, estimate), maxExpected)
 	if l.durations != nil {
 		l.durations.tasks[id] = d
 	}
@@ -396,7 +406,7 @@
 	}
 	path := criticalPath{stepEnds: make([]time.Duration, len(j.Spec.Steps))}
 	for i, st := range j.Spec.Steps {
-		duration := time.Duration(l.rounds(j, i, st.Count) * float64(l.taskDuration(j, i)))
+		duration := multiply(l.taskDuration(j, i), l.rounds(j, i, st.Count))
 		path.stepEnds[i] = duration
 		for _, dep := range st.DependsOn {
 			path.stepEnds[i] = max(path.stepEnds[i], path.stepEnds[dep]+duration)
@@ -416,6 +426,7 @@
 	if j.Spec.RepeatCount > 0 {
 		start = l.now().Add(-time.Duration(wallMs-j.Spec.DueMs(occur)) * time.Millisecond)
 	}
-	objective := time.Duration(j.SlackFactor*float64(l.criticalPath(j).total)) + time.Duration(j.TargetMs)*time.Millisecond
+	target := time.Duration(min(j.TargetMs, maxExpected.Milliseconds())) * time.Millisecond
+	objective := multiply(l.criticalPath(j).total, j.SlackFactor) + target
 	return start.Add(objective), start.Add(lateFactor * objective)
 }
--- a/internal/jobctl/input_test.go
+++ b/internal/jobctl/input_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -83,3 +84,45 @@
 	require.False(t, wide.Deadline.Before(at.Add(wide.TaskDuration+wide.RestDuration)), "the wide job can still meet its deadline")
 	require.InDelta(t, 7*wide.TaskDuration.Seconds(), wide.RestDuration.Seconds(), 0.001, "the work after the first round is the other seven rounds")
 }
+
+// The deadlines of a job with a huge estimate, slack factor or target overflowed: they lay in the past, so that the job
+// went before all others or counted as hopeless, by the kind of processor.
+func TestHugeExpectationsDoNotOverflow(t *testing.T) {
+	chain := func(estimate int64) *jobs.Spec {
+		spec := &jobs.Spec{}
+		for i := range 256 {
+			st := jobs.Step{Count: 70, Accels: 1, EstimateMs: estimate}
+			if i > 0 {
+				st.DependsOn = []int{i - 1}
+			}
+			spec.Steps = append(spec.Steps, st)
+		}
+		return spec
+	}
+	at := time.Unix(1_000_000, 0)
+	for name, tt := range map[string]struct {
+		estimate int64
+		slack    float64
+		target   int64
+	}{
+		"estimate":     {1 << 40, 1.5, 250},
+		"slack factor": {2000, 1e300, 250},
+		"target":       {2000, 1.5, math.MaxInt64},
+		"all":          {1 << 40, math.MaxFloat64, math.MaxInt64},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newTestLeader(t, at, chain(tt.estimate), oneStepSpec(1, 8, false))
+			l.c.state.Read(func(v jobs.View) {
+				j, _ := v.Job(fmt.Sprintf("%016x", 0))
+				j.SlackFactor, j.TargetMs = tt.slack, tt.target
+			})
+			steps := l.planInput().Steps
+			require.Len(t, steps, 2)
+			require.True(t, steps[0].Deadline.After(steps[1].Deadline))
+			require.True(t, steps[0].HardDeadline.After(steps[0].Deadline))
+			require.Positive(t, steps[0].TaskDuration)
+			require.Positive(t, steps[0].RestDuration)
+			require.Less(t, steps[0].RestDuration, 256*maxExpected+1)
+		})
+	}
+}
