--- a/internal/jobagt/announce.go
+++ b/internal/jobagt/announce.go
@@ -13,19 +13,11 @@
 	// maxReplaced is the number of former incarnations that are remembered. An announcement may be late by some
 	// seconds, in which a worker restarts a few times at most.
 	maxReplaced = 16
-	// maxCandidates bounds the announced workers that haven't answered yet. Only one worker runs on a host.
-	maxCandidates = 16
 	// maxDeviations is how many announcements in a row may describe the worker in another way before that is believed.
 	// A worker's own announcements come between those of another writer.
 	maxDeviations = 2
 )
 
-// candidate is an announced worker that hasn't answered yet.
-type candidate struct {
-	ann    Announcement // the newest one
-	failed bool         // a hold to it got no answer
-}
-
 // describesSame reports whether two announcements of an incarnation agree on what doesn't change during its life.
 func (ann Announcement) describesSame(other Announcement) bool {
 	return ann.Service == other.Service && ann.Address == other.Address && ann.CPU == other.CPU && ann.Memory == other.Memory &&
@@ -82,28 +74,6 @@
 	return ""
 }
 
-// addCandidate takes an announcement of a worker that hasn't answered. It returns why it ignores it, or "". The caller
-// holds a.mu.
-func (a *Agent) addCandidate(ann Announcement) string {
-	i := slices.IndexFunc(a.candidates, func(c candidate) bool { return c.ann.Worker == ann.Worker })
-	switch {
-	case i >= 0 && ann.Seq <= a.candidates[i].ann.Seq:
-		return "a later one has come"
-	case i >= 0:
-		a.candidates[i].ann = ann
-		return ""
-	case len(a.candidates) >= maxCandidates:
-		oldest := slices.IndexFunc(a.candidates, func(c candidate) bool { return c.failed })
-		if oldest < 0 {
-			return "others haven't been tried yet"
-		}
-		a.candidates = slices.Delete(a.candidates, oldest, oldest+1)
-	}
-	a.candidates = append(a.candidates, candidate{ann: ann})
-	a.triggerHold()
-	return ""
-}
-
 // use makes an announcement the one of the worker in use, which has answered. The caller holds a.mu.
 func (a *Agent) use(ann Announcement) {
 	a.announced, a.exitReported, a.deviations = ann, false, 0
@@ -131,62 +101,6 @@
 	a.replaced = a.replaced[max(0, len(a.replaced)-maxReplaced):]
 }
 
-// noteAnswer settles which announced workers aren't there after a hold to a name was answered: the others of that name,
-// and those that a hold has not reached before. The caller holds a.mu.
-func (a *Agent) noteAnswer(name string, w jobs.Worker) {
-	kept := a.candidates[:0]
-	for _, c := range a.candidates {
-		switch {
-		case c.ann.Worker == w:
-			if a.announced.Worker != w {
-				a.use(c.ann)
-			}
-		case c.failed || c.ann.Worker.Name == name:
-			a.logWithdrawn(c.ann)
-		default:
-			kept = append(kept, c)
-		}
-	}
-	a.candidates = kept
-}
-
-// withdraw drops the announcements of workers of a name, at which another worker answers: they came from somebody else,
-// or from a worker that has exited. It reports whether there were any. The caller holds a.mu.
-func (a *Agent) withdraw(name string) bool {
-	n := len(a.candidates)
-	a.candidates = slices.DeleteFunc(a.candidates, func(c candidate) bool {
-		if c.ann.Worker.Name == name {
-			a.logWithdrawn(c.ann)
-		}
-		return c.ann.Worker.Name == name
-	})
-	return len(a.candidates) < n
-}
-
-func (a *Agent) logWithdrawn(ann Announcement) {
-	a.log.Warn("announcement withdrawn: another worker answers", zap.String("worker", ann.Worker.Name), zap.Int64("born", ann.Worker.StartedMs),
-		zap.String("confirmed", a.state.worker.Name))
-}
-
-// noteProbeFailed puts the announced workers of a name behind the others. The caller holds a.mu.
-func (a *Agent) noteProbeFailed(name string) {
-	tried := func(c candidate) bool { return c.ann.Worker.Name == name }
-	var failed []candidate
-	for _, c := range a.candidates {
-		if tried(c) {
-			c.failed = true
-			failed = append(failed, c)
-		}
-	}
-	a.candidates = append(slices.DeleteFunc(a.candidates, tried), failed...)
-}
-
-// mayHaveRestarted reports whether another incarnation of a worker is announced, which may be the one that gets the
-// next order. The caller holds a.mu.
-func (a *Agent) mayHaveRestarted(w jobs.Worker) bool {
-	return slices.ContainsFunc(a.candidates, func(c candidate) bool { return c.ann.Worker.Name == w.Name })
-}
-
 // Leave implements AnnouncementReceiver. An announcement as ready that follows takes it back.
 func (a *Agent) Leave(worker string) {
 	a.mu.Lock()
