--- /dev/null
+++ b/review/kit3/cases.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"time"
+)
+
+// The rule for tasks that last: from restartTime after its last run, none may have nothing running for idleTime while
+// there is room for it twice over, if that time and calmTime before it are calm.
+const (
+	restartTime = 6 * time.Second
+	idleTime    = 3 * time.Second
+	calmTime    = 4 * time.Second
+	lastAccels  = 2 // of the task that lasts
+)
+
+// watchLasting watches a job with one task that lasts, whose last run has ended, until it runs again or the rule is broken.
+// Disruptions have ended at calmSince.
+func (s *system) watchLasting(id string, endedAt time.Time, calmSince time.Time) int {
+	idleFrom := endedAt.Add(restartTime)
+	if t := calmSince.Add(calmTime); t.After(idleFrom) {
+		idleFrom = t
+	}
+	for {
+		on, room := s.running(id, lastAccels)
+		now := time.Now()
+		switch {
+		case on != nil:
+			s.rec.log("the task that lasts runs again on %s, %.2f s after its last run", on.id, now.Sub(endedAt).Seconds())
+			return held
+		case room < 2:
+			if now.After(idleFrom) {
+				idleFrom = now
+			}
+		case now.Sub(idleFrom) >= idleTime:
+			s.rec.log("the task that lasts has nothing running %.2f s after its last run, %.2f s after the last disruption; %d of them would fit on the workers",
+				now.Sub(endedAt).Seconds(), now.Sub(calmSince).Seconds(), room)
+			s.state(id, 2, "k1")
+			return broken
+		}
+		time.Sleep(tick)
+	}
+}
+
+// lastingGang: the only run of a job that lasts fails while an urgent gang waits for workers that are busy.
+func lastingGang(s *system, trouble bool) (int, error) {
+	lasting, err := s.submit("lasting", 2, "k1", 0, lastAccels)
+	if err != nil {
+		return 0, err
+	}
+	if _, err := s.await(lasting); err != nil {
+		return 0, err
+	}
+	time.Sleep(2 * time.Second)
+	busy, err := s.submit("busy", 0, "k0", 22*time.Second, 8)
+	if err != nil {
+		return 0, err
+	}
+	if _, err := s.await(busy); err != nil {
+		return 0, err
+	}
+	time.Sleep(time.Second)
+	calmSince := time.Now()
+	if trouble {
+		if _, err := s.submit("urgent", 0, "k0", 4*time.Second, 8); err != nil {
+			return 0, err
+		}
+		calmSince = time.Now()
+	}
+	time.Sleep(5 * time.Second)
+	w, err := s.await(lasting)
+	if err != nil {
+		return 0, err
+	}
+	w.fail(lasting)
+	return s.watchLasting(lasting, time.Now(), calmSince), nil
+}
+
+const (
+	leaderKillDelay = 7900 * time.Millisecond // after the loss of a worker's machine
+	restartDelay    = 500 * time.Millisecond  // of a killed process
+)
+
+// lastingLeader: the machine of the worker on which a task lasts is lost, and the leader is killed shortly before it would
+// start the task again.
+func lastingLeader(s *system, trouble bool) (int, error) {
+	lasting, err := s.submit("lasting", 2, "k1", 0, lastAccels)
+	if err != nil {
+		return 0, err
+	}
+	w, err := s.await(lasting)
+	if err != nil {
+		return 0, err
+	}
+	time.Sleep(3 * time.Second)
+	if !trouble {
+		return s.watchLasting(lasting, time.Now(), time.Now()), nil
+	}
+	for i := range s.workers {
+		if s.workers[i] == w {
+			s.rec.log("the machine of %s is lost", w.id)
+			s.procs[agentName(i)].kill(s.rec)
+			w.crash()
+		}
+	}
+	endedAt := time.Now()
+	time.Sleep(leaderKillDelay)
+	leader, err := s.leader()
+	if err != nil {
+		return 0, err
+	}
+	leader.kill(s.rec)
+	time.Sleep(restartDelay)
+	if err := leader.start(s.rec); err != nil {
+		return 0, err
+	}
+	return s.watchLasting(lasting, endedAt, time.Now()), nil
+}
--- /dev/null
+++ b/review/kit3/main.go
@@ -0,0 +1,53 @@
+// Command kit3 plays the cases of the third review against processes of the system. It exits with 1 if the rule was
+// broken, with 0 if it held and with 2 if the case couldn't be played.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+const (
+	held = iota
+	broken
+	notPlayed
+)
+
+var cases = map[string]func(s *system, trouble bool) (int, error){
+	"lasting-gang": lastingGang, "lasting-leader": lastingLeader,
+}
+
+func main() { os.Exit(play()) }
+
+func play() int {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: kit3 CASE FOLDER")
+		return notPlayed
+	}
+	rec, err := newRecord(filepath.Join(os.Args[2], "record.txt"))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return notPlayed
+	}
+	defer rec.f.Close() //nolint:errcheck
+	s, err := newSystem(rec)
+	if s != nil {
+		defer s.stop()
+	}
+	if err == nil {
+		err = s.start()
+	}
+	result := notPlayed
+	if err == nil {
+		result, err = cases[os.Args[1]](s, os.Getenv("TROUBLE") != "0")
+	}
+	if err != nil {
+		rec.log("not played: %v", err)
+		fmt.Println("not played:", err)
+		return notPlayed
+	}
+	rec.log("result: %d", result)
+	fmt.Println([]string{"held", "broken"}[result])
+	return result
+}
