--- a/review/kit3/cases.go
+++ b/review/kit3/cases.go
@@ -35,14 +35,29 @@
 			s.rec.log("the task that lasts has nothing running %.2f s after its last run, %.2f s after the last disruption; %d of them would fit on the workers",
 				now.Sub(endedAt).Seconds(), now.Sub(calmSince).Seconds(), room)
 			s.state(id, 2, "k1")
+			s.untilRunning(id, endedAt)
 			return broken
 		}
 		time.Sleep(tick)
 	}
 }
 
+// untilRunning records when a job runs again, if that is soon.
+func (s *system) untilRunning(id string, endedAt time.Time) {
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(tick) {
+		if on, _ := s.running(id, lastAccels); on != nil {
+			s.rec.log("it runs again on %s, %.2f s after its last run", on.id, time.Since(endedAt).Seconds())
+			return
+		}
+	}
+	s.rec.log("it doesn't run yet, %.2f s after its last run", time.Since(endedAt).Seconds())
+}
+
 // lastingGang: the only run of a job that lasts fails while an urgent gang waits for workers that are busy.
 func lastingGang(s *system, trouble bool) (int, error) {
+	if err := s.start(); err != nil {
+		return 0, err
+	}
 	lasting, err := s.submit("lasting", 2, "k1", 0, lastAccels)
 	if err != nil {
 		return 0, err
@@ -83,6 +98,9 @@
 // lastingLeader: the machine of the worker on which a task lasts is lost, and the leader is killed shortly before it would
 // start the task again.
 func lastingLeader(s *system, trouble bool) (int, error) {
+	if err := s.start(); err != nil {
+		return 0, err
+	}
 	lasting, err := s.submit("lasting", 2, "k1", 0, lastAccels)
 	if err != nil {
 		return 0, err
@@ -115,3 +133,58 @@
 	}
 	return s.watchLasting(lasting, endedAt, time.Now()), nil
 }
+
+const (
+	startSpread = 300 * time.Millisecond // in which all machines start
+	lossDelay   = 250 * time.Millisecond // after the start of the machine that is lost
+	downTime    = time.Second
+	// ackLimit is how long the first configuration is sent, well over the time in which service has to return after losses.
+	ackLimit = 30 * time.Second
+)
+
+// firstStart: while the whole system starts for the first time, one machine with a disk is lost. It comes back with an
+// empty disk.
+func firstStart(s *system, trouble bool) (int, error) {
+	first := s.procs["control-1"]
+	if err := first.start(s.rec); err != nil {
+		return 0, err
+	}
+	time.Sleep(lossDelay)
+	if trouble {
+		first.kill(s.rec)
+		if err := s.loseDisk(first.name); err != nil {
+			return 0, err
+		}
+		back := time.Now().Add(downTime)
+		time.Sleep(startSpread - lossDelay)
+		p := s.procs[first.name]
+		delete(s.procs, first.name)
+		err := s.startProcesses()
+		s.procs[first.name] = p
+		if err != nil {
+			return 0, err
+		}
+		time.Sleep(time.Until(back))
+		if err := first.start(s.rec); err != nil {
+			return 0, err
+		}
+	} else if err := s.startProcesses(); err != nil {
+		return 0, err
+	}
+	if !s.configure(ackLimit) {
+		s.rec.log("the first configuration isn't acknowledged within %s after all machines are back", ackLimit)
+		if _, err := s.submit("busy", 1, "k0", time.Second, 1); err != nil {
+			s.rec.log("client: %v", err)
+		}
+		return broken, nil
+	}
+	time.Sleep(3 * time.Second)
+	id, err := s.submit("busy", 1, "k0", time.Second, 1)
+	if err != nil {
+		return 0, err
+	}
+	if _, err := s.await(id); err != nil {
+		return 0, err
+	}
+	return held, nil
+}
--- a/review/kit3/main.go
+++ b/review/kit3/main.go
@@ -15,7 +15,7 @@
 )
 
 var cases = map[string]func(s *system, trouble bool) (int, error){
-	"lasting-gang": lastingGang, "lasting-leader": lastingLeader,
+	"lasting-gang": lastingGang, "lasting-leader": lastingLeader, "first-start": firstStart,
 }
 
 func main() { os.Exit(play()) }
@@ -35,9 +35,6 @@
 	if s != nil {
 		defer s.stop()
 	}
-	if err == nil {
-		err = s.start()
-	}
 	result := notPlayed
 	if err == nil {
 		result, err = cases[os.Args[1]](s, os.Getenv("TROUBLE") != "0")
--- a/review/kit3/system.go
+++ b/review/kit3/system.go
@@ -61,7 +61,8 @@
 	control  []string
 	procs    map[string]*process
 	workers  []*worker
-	jobs     map[string]string // names of jobs by id
+	text     map[string]map[string]any // settings by process
+	jobs     map[string]string         // names of jobs by id
 	duration map[string]time.Duration
 	accels   map[string]int
 }
@@ -72,7 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &system{rec: rec, dir: dir, procs: map[string]*process{}, jobs: map[string]string{}, duration: map[string]time.Duration{}, accels: map[string]int{}}
+	s := &system{rec: rec, dir: dir, procs: map[string]*process{}, text: map[string]map[string]any{}, jobs: map[string]string{}, duration: map[string]time.Duration{}, accels: map[string]int{}}
 	net8, err := freeNetwork()
 	if err != nil {
 		return s, err
@@ -138,24 +139,59 @@
 }
 
 func (s *system) add(name string, zone int, admin string, memory, drain int, role string, settings map[string]any) error {
-	text, err := json.MarshalIndent(map[string]any{
+	s.text[name] = map[string]any{
 		"cluster": "knapweedlug", "trusted": true, "node": map[string]any{"name": name, "domain": fmt.Sprintf("z%d", zone%3), "region": "r"},
 		"admin": map[string]any{"listen": admin}, "limits": map[string]any{"memory": memory, "files": 4096},
 		"drain": map[string]any{"seconds": drain}, "roles": map[string]any{role: settings},
-	}, "", "  ")
+	}
+	s.procs[name] = &process{name: name, settings: filepath.Join(s.dir, name+".json"), log: filepath.Join(s.dir, name+".log")}
+	return s.write(name)
+}
+
+// write writes the settings of a process.
+func (s *system) write(name string) error {
+	text, err := json.MarshalIndent(s.text[name], "", "  ")
 	if err != nil {
 		return err
 	}
-	p := &process{name: name, settings: filepath.Join(s.dir, name+".json"), log: filepath.Join(s.dir, name+".log")}
-	s.procs[name] = p
-	return os.WriteFile(p.settings, text, 0o644)
+	return os.WriteFile(s.procs[name].settings, text, 0o644)
+}
+
+// loseDisk empties the data folder of a control process, which doesn't run. The platform starts it with other settings
+// then.
+func (s *system) loseDisk(name string) error {
+	settings := s.text[name]["roles"].(map[string]any)["jobctl"].(map[string]any)
+	settings["first"] = false
+	data := settings["data"].(string)
+	s.rec.log("%s loses its disk", name)
+	if err := os.RemoveAll(data); err != nil {
+		return err
+	}
+	if err := os.Mkdir(data, 0o755); err != nil {
+		return err
+	}
+	return s.write(name)
 }
 
 // start starts all processes and workers, and sends the configuration.
 func (s *system) start() error {
+	if err := s.startProcesses(); err != nil {
+		return err
+	}
+	if !s.configure(configTime) {
+		return fmt.Errorf("no configuration in %s", configTime)
+	}
+	time.Sleep(3 * time.Second) // all workers have announced themselves
+	return nil
+}
+
+// startProcesses starts the workers and all processes that don't run yet.
+func (s *system) startProcesses() error {
 	for _, p := range s.procs {
-		if err := p.start(s.rec); err != nil {
-			return err
+		if p.cmd == nil {
+			if err := p.start(s.rec); err != nil {
+				return err
+			}
 		}
 	}
 	for _, w := range s.workers {
@@ -163,17 +199,24 @@
 			return err
 		}
 	}
-	for deadline := time.Now().Add(configTime); time.Now().Before(deadline); time.Sleep(200 * time.Millisecond) {
-		for _, ip := range s.control {
-			status, _ := s.call(http.MethodPut, ip+":8526", names.ConfigPath, "", names.Config)
-			if status == http.StatusOK {
-				s.rec.log("configuration acknowledged")
-				time.Sleep(3 * time.Second) // all workers have announced themselves
-				return nil
+	return nil
+}
+
+// configure sends the configuration until it is acknowledged, and reports whether it was in time.
+func (s *system) configure(limit time.Duration) bool {
+	last := 0
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(200 * time.Millisecond) {
+		for i, ip := range s.control {
+			status, text := s.call(http.MethodPut, ip+":8526", names.ConfigPath, "", names.Config)
+			if status != last {
+				s.rec.log("operator: PUT of the configuration to control-%d: %d %s", i+1, status, text)
+			}
+			if last = status; status == http.StatusOK {
+				return true
 			}
 		}
 	}
-	return fmt.Errorf("no configuration in %s", configTime)
+	return false
 }
 
 func (s *system) stop() {
