--- a/review/kit3/cases.go
+++ b/review/kit3/cases.go
@@ -76,7 +76,7 @@
 	time.Sleep(time.Second)
 	calmSince := time.Now()
 	if trouble {
-		if _, err := s.submit("urgent", 0, "k0", 4*time.Second, 8); err != nil {
+		if _, err := s.submit("urgent", 0, "k0", 8*time.Second, 8); err != nil {
 			return 0, err
 		}
 		calmSince = time.Now()
