--- a/review/kit3/cases.go
+++ b/review/kit3/cases.go
@@ -111,6 +111,7 @@
 	}
 	time.Sleep(3 * time.Second)
 	if !trouble {
+		time.Sleep(leaderKillDelay + restartDelay)
 		return s.watchLasting(lasting, time.Now(), time.Now()), nil
 	}
 	for i := range s.workers {
--- a/review/kit3/main.go
+++ b/review/kit3/main.go
@@ -5,9 +5,15 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
+	"time"
 )
 
+// playLimit is how long a case may take.
+const playLimit = 110 * time.Second
+
 const (
 	held = iota
 	broken
@@ -35,6 +41,7 @@
 	if s != nil {
 		defer s.stop()
 	}
+	stopOnSignal(s)
 	result := notPlayed
 	if err == nil {
 		result, err = cases[os.Args[1]](s, os.Getenv("TROUBLE") != "0")
@@ -48,3 +55,21 @@
 	fmt.Println([]string{"held", "broken"}[result])
 	return result
 }
+
+// stopOnSignal ends all processes of the system when this one is to end, or when the case takes too long.
+func stopOnSignal(s *system) {
+	if s == nil {
+		return
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		select {
+		case <-signals:
+		case <-time.After(playLimit):
+		}
+		s.rec.log("not played to the end")
+		s.stop()
+		os.Exit(notPlayed)
+	}()
+}
--- a/review/kit3/system.go
+++ b/review/kit3/system.go
@@ -12,7 +12,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"time"
 )
 
@@ -38,7 +37,6 @@
 	defer out.Close() //nolint:errcheck
 	p.cmd = exec.Command("target/knapd", "run", p.settings)
 	p.cmd.Stdout, p.cmd.Stderr = out, out
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	rec.log("process %s starts", p.name)
 	return p.cmd.Start()
 }
