--- a/review/kit3/cases.go
+++ b/review/kit3/cases.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"net/http"
 	"time"
 )
 
@@ -189,3 +190,48 @@
 	}
 	return held, nil
 }
+
+const (
+	oddInterval = 400 * time.Millisecond // between two heartbeats of the other writer to one agent
+	oddSeq      = 1_000_000              // its first sequence number
+	oddBefore   = 5 * time.Second        // how long it writes before the job comes
+	finishTime  = 14 * time.Second       // after the end of the traffic, from which a job must have something running
+)
+
+// oddBeats: another writer sends heartbeats in the names of the workers, with a service that isn't there.
+func oddBeats(s *system, trouble bool) (int, error) {
+	if err := s.start(); err != nil {
+		return 0, err
+	}
+	if trouble {
+		s.rec.log("another writer sends each agent a heartbeat every %s, with the service %v", oddInterval, names.OddBeat)
+		for _, w := range s.workers {
+			go w.writeOdd(s.rec)
+		}
+	}
+	time.Sleep(oddBefore)
+	id, err := s.submit("plain", 1, "k0", 2*time.Second, 1)
+	if err != nil {
+		return 0, err
+	}
+	for deadline := time.Now().Add(finishTime + idleTime); time.Now().Before(deadline); time.Sleep(tick) {
+		if w, _ := s.running(id, 1); w != nil {
+			s.rec.log("the job runs on %s", w.id)
+			return held, nil
+		}
+	}
+	_, room := s.running(id, 1)
+	s.rec.log("the job has had nothing running for %s after the end of the traffic; %d of its task would fit on the workers", finishTime+idleTime, room)
+	s.state(id, 1, "k0")
+	return broken, nil
+}
+
+// writeOdd sends another writer's heartbeats until the worker is closed. It records each tenth answer.
+func (w *worker) writeOdd(rec *record) {
+	for n := int64(0); !w.isDead(); n++ {
+		if status := w.announce(oddSeq+n, names.OddBeat); n%10 == 0 || status != http.StatusOK {
+			rec.log("other writer: heartbeat %d for %s: %d", n+1, w.id, status)
+		}
+		time.Sleep(oddInterval)
+	}
+}
--- a/review/kit3/main.go
+++ b/review/kit3/main.go
@@ -21,7 +21,7 @@
 )
 
 var cases = map[string]func(s *system, trouble bool) (int, error){
-	"lasting-gang": lastingGang, "lasting-leader": lastingLeader, "first-start": firstStart,
+	"lasting-gang": lastingGang, "lasting-leader": lastingLeader, "first-start": firstStart, "odd-beats": oddBeats,
 }
 
 func main() { os.Exit(play()) }
--- a/review/kit3/names.go
+++ b/review/kit3/names.go
@@ -11,6 +11,7 @@
 // names holds the names and bodies of the users' protocol.
 var names struct {
 	Beat           map[string]any
+	OddBeat        map[string]any // what another writer says differently
 	BeatPath       string
 	StartPath      string
 	StopPath       string
--- a/review/kit3/worker.go
+++ b/review/kit3/worker.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -96,25 +97,32 @@
 }
 
 func (w *worker) beat() {
-	client := &http.Client{Timeout: time.Second}
 	for !w.isDead() {
 		w.mu.Lock()
 		w.seq++
-		body := map[string]any{"address": w.ip + ":9000", "labels": []string{"a", w.rack}, "clock_ms": w.clock(), "seq": w.seq, "born": w.born}
-		for k, v := range names.Beat {
-			body[k] = v
-		}
+		seq := w.seq
 		w.mu.Unlock()
-		text, _ := json.Marshal(body)
-		req, _ := http.NewRequest(http.MethodPut, "http://"+w.ip+":8526"+names.BeatPath+w.id, bytes.NewReader(text))
-		req.Header.Set("Content-Type", "application/json")
-		if resp, err := client.Do(req); err == nil {
-			resp.Body.Close() //nolint:errcheck
-		}
+		w.announce(seq, nil)
 		time.Sleep(beatInterval)
 	}
 }
 
+// announce sends a heartbeat, in which some fields may be other ones, and returns the status.
+func (w *worker) announce(seq int64, odd map[string]any) int {
+	body := map[string]any{"address": w.ip + ":9000", "labels": []string{"a", w.rack}, "clock_ms": w.clock(), "seq": seq, "born": w.born}
+	maps.Copy(body, names.Beat)
+	maps.Copy(body, odd)
+	text, _ := json.Marshal(body)
+	req, _ := http.NewRequest(http.MethodPut, "http://"+w.ip+":8526"+names.BeatPath+w.id, bytes.NewReader(text))
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := (&http.Client{Timeout: time.Second}).Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close() //nolint:errcheck
+	return resp.StatusCode
+}
+
 // watch ends runs whose time or lease is over.
 func (w *worker) watch() {
 	for !w.isDead() {
