--- a/review/kit3/main.go
+++ b/review/kit3/main.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"syscall"
 	"time"
 )
@@ -28,10 +27,10 @@
 
 func play() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: kit3 CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: kit3 CASE RECORD")
 		return notPlayed
 	}
-	rec, err := newRecord(filepath.Join(os.Args[2], "record.txt"))
+	rec, err := newRecord(os.Args[2])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return notPlayed
